--- /dev/null
+++ b/src/wagtailhollow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command-line front ends, one module for each console script."""
--- /dev/null
+++ b/src/wagtailhollow/errors.py
@@ -0,0 +1,142 @@
+"""The closed list of error kinds and the answer that belongs to each.
+
+Every refusal or failure that leaves a process is one :class:`ErrorKind`. The
+table :data:`ANSWERS` maps it to an HTTP status, to what is known about the
+execution of the call, and to retry advice. Between processes the kind travels
+by name, see ``DispatchReply.kind``, ``Abort.kind`` and ``Reject.kind`` in the
+IDL.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+
+class ErrorKind(enum.Enum):
+    """All the ways in which a call, a frame or an order can fail."""
+
+    BAD_REQUEST = 'bad_request'
+    BODY_TOO_LARGE = 'body_too_large'
+    HEADER_TOO_LARGE = 'header_too_large'
+    UNAUTHENTICATED = 'unauthenticated'
+    FORBIDDEN = 'forbidden'
+    UNKNOWN_MODEL = 'unknown_model'
+    UNKNOWN_SERVICE = 'unknown_service'
+    KEY_REUSED = 'key_reused'
+    LIMIT_EXCEEDED = 'limit_exceeded'
+    BUDGET_EXHAUSTED = 'budget_exhausted'
+    OVERLOADED = 'overloaded'
+    NO_TARGET = 'no_target'
+    TARGET_FULL = 'target_full'
+    TARGET_DRAINING = 'target_draining'
+    TARGET_WITHDRAWN = 'target_withdrawn'
+    STALE_ORDER = 'stale_order'
+    STALE_INCARNATION = 'stale_incarnation'
+    NOT_READY = 'not_ready'
+    PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    IN_PROGRESS = 'in_progress'
+    OUTCOME_UNKNOWN = 'outcome_unknown'
+    ANSWER_INCOMPLETE = 'answer_incomplete'
+    DEADLINE_EXCEEDED = 'deadline_exceeded'
+    ENGINE_FAILED = 'engine_failed'
+    SLOW_SENDER = 'slow_sender'
+    PROTOCOL_VERSION = 'protocol_version'
+    BAD_FRAME = 'bad_frame'
+    INTERNAL = 'internal'
+
+
+class Execution(enum.Enum):
+    """What is known about the execution of a failed call."""
+
+    RAN = 'ran'
+    NOT_RUN = 'not_run'
+    MAY_HAVE_RUN = 'may_have_run'
+
+
+class Retry(enum.Enum):
+    """What a caller should do about a failed call."""
+
+    NO = 'no'
+    LATER = 'later'
+    SAME_KEY = 'same_key'
+
+
+@dataclasses.dataclass(frozen=True)
+class Answer:
+    """HTTP status, execution and retry advice for one error kind."""
+
+    status: int
+    execution: Execution
+    retry: Retry
+
+
+_NOT_RUN = Execution.NOT_RUN
+_MAY = Execution.MAY_HAVE_RUN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, _NOT_RUN, Retry.NO),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN, Retry.NO),
+    ErrorKind.HEADER_TOO_LARGE: Answer(431, _NOT_RUN, Retry.NO),
+    ErrorKind.UNAUTHENTICATED: Answer(401, _NOT_RUN, Retry.NO),
+    ErrorKind.FORBIDDEN: Answer(403, _NOT_RUN, Retry.NO),
+    ErrorKind.UNKNOWN_MODEL: Answer(404, _NOT_RUN, Retry.NO),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, _NOT_RUN, Retry.NO),
+    ErrorKind.KEY_REUSED: Answer(422, _NOT_RUN, Retry.NO),
+    ErrorKind.LIMIT_EXCEEDED: Answer(429, _NOT_RUN, Retry.LATER),
+    ErrorKind.BUDGET_EXHAUSTED: Answer(429, _NOT_RUN, Retry.LATER),
+    ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, Retry.LATER),
+    ErrorKind.NO_TARGET: Answer(503, _NOT_RUN, Retry.LATER),
+    ErrorKind.TARGET_FULL: Answer(503, _NOT_RUN, Retry.LATER),
+    ErrorKind.TARGET_DRAINING: Answer(503, _NOT_RUN, Retry.LATER),
+    ErrorKind.TARGET_WITHDRAWN: Answer(503, _NOT_RUN, Retry.LATER),
+    ErrorKind.STALE_ORDER: Answer(409, _NOT_RUN, Retry.NO),
+    ErrorKind.STALE_INCARNATION: Answer(503, _NOT_RUN, Retry.LATER),
+    ErrorKind.NOT_READY: Answer(503, _NOT_RUN, Retry.LATER),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(503, _NOT_RUN, Retry.LATER),
+    ErrorKind.IN_PROGRESS: Answer(409, _MAY, Retry.SAME_KEY),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(504, _MAY, Retry.SAME_KEY),
+    ErrorKind.ANSWER_INCOMPLETE: Answer(502, _MAY, Retry.LATER),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(504, _MAY, Retry.LATER),
+    ErrorKind.ENGINE_FAILED: Answer(502, _MAY, Retry.LATER),
+    ErrorKind.SLOW_SENDER: Answer(408, _NOT_RUN, Retry.LATER),
+    ErrorKind.PROTOCOL_VERSION: Answer(426, _NOT_RUN, Retry.NO),
+    ErrorKind.BAD_FRAME: Answer(400, _NOT_RUN, Retry.NO),
+    ErrorKind.INTERNAL: Answer(500, _MAY, Retry.SAME_KEY),
+}
+
+
+class Refusal(Exception):
+    """A call, frame or order failed with a kind from the closed list.
+
+    :param kind: the kind that decides the answer.
+    :param message: one sentence for a person: what was got and what to do.
+    :param retry_after_s: seconds after which a retry makes sense, if known.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        message: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(f'{kind.value}: {message}')
+        self.kind = kind
+        self.message = message
+        self.retry_after_s = retry_after_s
+
+    @property
+    def answer(self) -> Answer:
+        """Return the answer that :data:`ANSWERS` gives for the kind."""
+        return ANSWERS[self.kind]
+
+
+def kind_from_wire(name: str | None) -> ErrorKind:
+    """Return the kind named *name*; an unknown name reads as INTERNAL.
+
+    A newer peer may know a kind that this process does not.
+    """
+    try:
+        return ErrorKind(name)
+    except ValueError:
+        return ErrorKind.INTERNAL
--- /dev/null
+++ b/src/wagtailhollow/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the daemons and the operators' tools. Not public."""
--- /dev/null
+++ b/src/wagtailhollow/internal/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent daemon: the only way to its target."""
--- /dev/null
+++ b/src/wagtailhollow/internal/agent/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the kinds of target."""
--- /dev/null
+++ b/src/wagtailhollow/internal/agent/backends/http_call.py
@@ -0,0 +1,101 @@
+"""HTTP calls to a target, shared by the adapters."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Mapping
+
+import aiohttp
+
+from . import registry
+
+CONNECT_TIMEOUT_S = 2.0
+SILENCE_TIMEOUT_S = 60.0
+ORDER_TIMEOUT_S = 5.0
+LOAD_TIMEOUT_S = 1.0
+
+_HOP_BY_HOP = frozenset(
+    {
+        'connection', 'content-length', 'date', 'keep-alive', 'server',
+        'te', 'trailer', 'transfer-encoding', 'upgrade',
+    }
+)  # fmt: skip
+
+
+class TargetHttp:
+    """One HTTP session with one target."""
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip('/')
+        self._session: aiohttp.ClientSession | None = None
+
+    async def open(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes | None,
+    ) -> registry.BackendAnswer:
+        """Send a request and return the head and the body iterator.
+
+        :raises BackendFailed: with ``started`` false only if no connection
+            to the target could be made.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=SILENCE_TIMEOUT_S,
+        )
+        try:
+            resp = await self.session().request(
+                method,
+                self._url + path,
+                headers=dict(headers),
+                data=body,
+                timeout=timeout,
+            )
+        except aiohttp.ClientConnectorError as exc:
+            raise registry.BackendFailed(str(exc), started=False) from exc
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise registry.BackendFailed(repr(exc), started=True) from exc
+        kept = {
+            key.lower(): value
+            for key, value in resp.headers.items()
+            if key.lower() not in _HOP_BY_HOP
+        }
+        return registry.BackendAnswer(resp.status, kept, _chunks(resp))
+
+    async def get_json(self, path: str) -> dict:
+        """Return the JSON object at *path*; raises BackendFailed."""
+        try:
+            async with self.session().get(
+                self._url + path,
+                timeout=aiohttp.ClientTimeout(total=LOAD_TIMEOUT_S),
+            ) as resp:
+                resp.raise_for_status()
+                return await resp.json()
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
+            raise registry.BackendFailed(repr(exc), started=False) from exc
+
+    def session(self) -> aiohttp.ClientSession:
+        """Return the session, created on first use inside the loop."""
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=0)
+            self._session = aiohttp.ClientSession(
+                connector=connector, auto_decompress=False
+            )
+        return self._session
+
+    async def close(self) -> None:
+        """Close the session."""
+        if self._session is not None:
+            await self._session.close()
+
+
+async def _chunks(resp: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    try:
+        async for data in resp.content.iter_any():
+            yield data
+    except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+        raise registry.BackendFailed(repr(exc), started=True) from exc
+    finally:
+        resp.close()
--- /dev/null
+++ b/src/wagtailhollow/internal/agent/backends/model_engine.py
@@ -0,0 +1,97 @@
+"""Adapter to a model engine with an OpenAI-style HTTP API.
+
+Beside the completions path the engine has ``GET /v1/streams/<id>?offset=N``
+to go on with a stream, ``DELETE /v1/streams/<id>`` to cancel it and
+``GET /load``. It keeps a stream whose reader is gone for a while.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import aiohttp
+
+from . import http_call, registry
+
+
+@registry.backend('model_engine')
+class ModelEngine:
+    """One model engine."""
+
+    can_resume = True
+
+    def __init__(self, url: str) -> None:
+        self._http = http_call.TargetHttp(url)
+        self._url = url.rstrip('/')
+
+    async def start(
+        self, call: registry.BackendCall
+    ) -> registry.BackendAnswer:
+        """See :meth:`registry.Backend.start`."""
+        headers = {
+            **call.headers,
+            'x-request-id': call.call_id,
+            'x-priority': str(call.priority),
+        }
+        answer = await self._http.open(
+            call.method, call.path, headers, call.body
+        )
+        return _of_call(answer, call.call_id)
+
+    async def resume(
+        self, call_id: str, offset: int
+    ) -> registry.BackendAnswer:
+        """See :meth:`registry.Backend.resume`."""
+        path = f'/v1/streams/{call_id}?offset={offset}'
+        answer = await self._http.open('GET', path, {}, None)
+        if answer.status != 200:
+            raise registry.BackendFailed(
+                f'the engine no longer has the stream: {answer.status}',
+                started=True,
+            )
+        return _of_call(answer, call_id)
+
+    async def cancel(self, call_id: str) -> None:
+        """See :meth:`registry.Backend.cancel`."""
+        with contextlib.suppress(
+            aiohttp.ClientError, asyncio.TimeoutError, OSError
+        ):
+            async with self._http.session().delete(
+                f'{self._url}/v1/streams/{call_id}',
+                timeout=aiohttp.ClientTimeout(total=http_call.LOAD_TIMEOUT_S),
+            ):
+                pass
+
+    async def load(self) -> registry.BackendLoad:
+        """See :meth:`registry.Backend.load`."""
+        row = await self._http.get_json('/load')
+        return registry.BackendLoad(
+            generation=int(row['generation']),
+            running=int(row['running']),
+            queued=int(row.get('queued', 0)),
+            completed=int(row.get('completed', 0)),
+            uptime_s=float(row.get('uptime_s', 0.0)),
+            first_token_ms=float(row.get('first_token_ms', 0.0)),
+            cached_prefixes=int(row.get('cached_prefixes', -1)),
+        )
+
+    async def close(self) -> None:
+        """See :meth:`registry.Backend.close`."""
+        await self._http.close()
+
+
+def _of_call(
+    answer: registry.BackendAnswer, call_id: str
+) -> registry.BackendAnswer:
+    """Return *answer* if it belongs to the call.
+
+    An engine that crosses answers under load names the other call in this
+    header; such an answer must not reach the caller.
+    """
+    named = answer.headers.get('x-request-id', call_id)
+    if named != call_id:
+        raise registry.BackendFailed(
+            f'the engine answered for the call {named}', started=True
+        )
+    return answer
--- /dev/null
+++ b/src/wagtailhollow/internal/agent/compose.py
@@ -0,0 +1,173 @@
+"""Composition root of the agent."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from absl import logging
+
+from ... import errors
+from ..daemon import http, lifecycle
+from ..distribution import document, sync
+from ..platform import http_store
+from ..settings import schema
+from ..table import model, queries
+from ..wire import auth, connection, server
+from ..wire.gen import ttypes
+from . import calls, gate, ledger, ramp, watcher
+from .backends import model_engine, plain_service, registry
+
+CATCH_UP_TIMEOUT_S = 2.0
+EXPIRE_PERIOD_S = 5.0
+
+# The adapters register themselves when imported.
+_ADAPTERS = (model_engine, plain_service)
+
+
+class Agent:
+    """The agent daemon; wires its parts and runs them."""
+
+    def __init__(self, cfg: schema.AgentSettings) -> None:
+        self._cfg = cfg
+        self._incarnation = lifecycle.new_incarnation()
+        self._store = http_store.HttpObjectStore(cfg.platform_url)
+        self._table = document.VersionedDocument(model.TABLE_DOCUMENT)
+        self._table.on_change(self._table_changed)
+        self._view: queries.TableView | None = None
+        self._handlers = connection.Handlers()
+        self._sync = sync.DocumentSync(
+            {self._table.name: self._table}, self._handlers
+        )
+        self._ramp = ramp.Ramp(cfg.ramp)
+        self._ledger = ledger.Ledger()
+        self._backend = registry.BACKENDS[cfg.backend.kind](cfg.backend.url)
+        self._gate = gate.Gate(
+            cfg.data_centre, cfg.target, self._ramp, lambda: self._view
+        )
+        self._watcher = watcher.TargetWatcher(
+            self._backend, self._gate, self._ramp
+        )
+        self._calls = calls.CallServer(
+            cfg.target,
+            self._incarnation,
+            self._backend,
+            self._gate,
+            self._ramp,
+            self._ledger,
+            self._catch_up,
+            self._load,
+            self._handlers,
+        )
+        self._handlers.on_notice(ttypes.Heartbeat)(self._heard)
+        identity = auth.Identity(
+            cfg.node,
+            ttypes.Role.AGENT,
+            cfg.data_centre,
+            cfg.deployment,
+            self._incarnation,
+            cfg.listen_peers,
+        )
+        self._peers = server.PeerServer(
+            identity,
+            auth.KeyRing(cfg.peer_keys_file),
+            self._handlers,
+            self._heartbeat,
+        )
+        self._http = http.HttpServer(
+            http.operator_routes(self._not_ready_reason), cfg.listen_http
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """See :class:`lifecycle.Daemon`."""
+        host, _, port = self._cfg.listen_peers.rpartition(':')
+        await self._peers.start(host, int(port))
+        await self._http.start()
+        self._tasks = [
+            asyncio.create_task(self._watcher.run()),
+            asyncio.create_task(self._expire()),
+        ]
+
+    async def drain(self) -> None:
+        """See :class:`lifecycle.Daemon`."""
+        self._gate.draining = True
+        for conn in self._peers.connections.values():
+            conn.post(self._heartbeat(conn))
+        deadline_s = time.monotonic() + self._cfg.drain_timeout_s
+        while self._calls.running and time.monotonic() < deadline_s:
+            await asyncio.sleep(0.05)
+        if self._calls.running:
+            logging.warning('%d calls are cut', self._calls.running)
+
+    async def stop(self) -> None:
+        """See :class:`lifecycle.Daemon`."""
+        for task in self._tasks:
+            task.cancel()
+        await self._peers.stop()
+        await self._http.stop()
+        await self._backend.close()
+        await self._store.close()
+
+    def _not_ready_reason(self) -> str | None:
+        state = ttypes.TargetState(self._gate.state())
+        if state is ttypes.TargetState.IN_SERVICE:
+            return None
+        return f'the target is {state.name.lower()}'
+
+    def _table_changed(self, change: document.Change) -> None:
+        self._view = queries.TableView(
+            model.Table(self._table.version, self._table.rows)
+        )
+        row = self._view.target(self._cfg.target)
+        self._ramp.set_limit(row.max_concurrent)
+
+    def _heard(
+        self, conn: connection.PeerConnection, message: ttypes.Heartbeat
+    ) -> None:
+        self._sync.notice_versions(conn, message.documents)
+
+    async def _catch_up(
+        self, conn: connection.PeerConnection, version: int
+    ) -> None:
+        if version <= self._table.version:
+            return
+        try:
+            await self._sync.fetch(conn, self._table.name)
+            async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
+                await self._table.wait_for(version)
+        except (connection.ConnectionLost, TimeoutError) as exc:
+            raise errors.Refusal(
+                errors.ErrorKind.NOT_READY,
+                f'the table version {version} is not here yet',
+            ) from exc
+
+    def _load(self) -> ttypes.TargetLoad:
+        load = self._watcher.load
+        return ttypes.TargetLoad(
+            target=self._cfg.target,
+            service_name=self._cfg.service,
+            state=self._gate.state(),
+            running=self._gate.running + self._gate.foreign_running,
+            queued=load.queued if load else 0,
+            cap=self._ramp.cap,
+            generation=load.generation if load else 0,
+            agent_clock_ms=self._ledger.now_ms(),
+            report_age_ms=self._watcher.report_age_ms(),
+            first_token_ms=load.first_token_ms if load else 0.0,
+            models=list(self._cfg.backend.models),
+            cap_limit=self._ramp.limit,
+        )
+
+    def _heartbeat(self, conn: connection.PeerConnection) -> ttypes.Heartbeat:
+        return ttypes.Heartbeat(
+            sent_at_ms=self._ledger.now_ms(),
+            documents=self._sync.versions(),
+            load=self._load(),
+            draining=self._gate.draining,
+        )
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_PERIOD_S)
+            self._ledger.expire()
--- /dev/null
+++ b/src/wagtailhollow/internal/agent/ledger.py
@@ -0,0 +1,137 @@
+"""Record of the claimed calls that this incarnation of the agent started.
+
+The ledger is what makes an answer "not run" true: a nonce is either recorded
+as started, or a tombstone is left so that it can never be started later. It
+lives in memory; the incarnation number in every claimed dispatch tells when it
+was lost.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections.abc import Mapping
+
+from ... import errors
+from ..wire.gen import ttypes
+
+MAX_TICKET_AGE_MS = 30_000
+"""A claimed dispatch older than this by the agent's clock is refused."""
+
+TOMBSTONE_RETENTION_MS = 2 * MAX_TICKET_AGE_MS
+"""A tombstone outlives every dispatch that it has to refuse."""
+
+RECORD_RETENTION_MS = 600_000
+
+MAX_RECORDED_BODY_BYTES = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """The recorded answer of a finished call."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass
+class _Entry:
+    """State of one nonce: a tombstone, a started call or its outcome."""
+
+    state: int
+    changed_at_ms: int
+    outcome: Outcome | None = None
+
+
+class Ledger:
+    """Started calls and tombstones by nonce."""
+
+    def __init__(self, clock_ms=None) -> None:
+        self._clock_ms = clock_ms or (lambda: time.monotonic_ns() // 1_000_000)
+        self._entries: dict[str, _Entry] = {}
+
+    def now_ms(self) -> int:
+        """Return the agent's clock, as it goes into heartbeats."""
+        return self._clock_ms()
+
+    def start(self, ticket: ttypes.ClaimTicket) -> None:
+        """Record that the call is handed to the target now.
+
+        :raises Refusal: STALE_ORDER if the ticket is too old or its nonce
+            has a tombstone or was started before.
+        """
+        age_ms = self.now_ms() - ticket.issued_agent_clock_ms
+        if not 0 <= age_ms <= MAX_TICKET_AGE_MS:
+            raise errors.Refusal(
+                errors.ErrorKind.STALE_ORDER,
+                f'the dispatch is {age_ms} ms old, at most '
+                f'{MAX_TICKET_AGE_MS} ms are allowed',
+            )
+        if ticket.nonce in self._entries:
+            raise errors.Refusal(
+                errors.ErrorKind.STALE_ORDER,
+                'this dispatch was cancelled or started before',
+            )
+        self._entries[ticket.nonce] = _Entry(
+            ttypes.OutcomeState.IN_PROGRESS, self.now_ms()
+        )
+
+    def withdraw(self, ticket: ttypes.ClaimTicket) -> None:
+        """Turn a recorded start into a tombstone.
+
+        Only for a call of which it is certain that the target never saw it.
+        """
+        self._entries[ticket.nonce] = _Entry(
+            ttypes.OutcomeState.NOT_RUN, self.now_ms()
+        )
+
+    def finish(
+        self, ticket: ttypes.ClaimTicket, outcome: Outcome | None
+    ) -> None:
+        """Record the outcome; None if the target may have executed it."""
+        state = (
+            ttypes.OutcomeState.UNKNOWN
+            if outcome is None
+            else ttypes.OutcomeState.DONE
+        )
+        self._entries[ticket.nonce] = _Entry(state, self.now_ms(), outcome)
+
+    def cancel_if_not_started(
+        self, ticket: ttypes.ClaimTicket
+    ) -> ttypes.CallOutcome:
+        """Return the state of the nonce; bar it if it was not started."""
+        entry = self._entries.get(ticket.nonce)
+        if entry is None:
+            age_ms = self.now_ms() - ticket.issued_agent_clock_ms
+            if age_ms > RECORD_RETENTION_MS:
+                return ttypes.CallOutcome(ttypes.OutcomeState.UNKNOWN)
+            self._entries[ticket.nonce] = _Entry(
+                ttypes.OutcomeState.NOT_RUN, self.now_ms()
+            )
+            return ttypes.CallOutcome(ttypes.OutcomeState.NOT_RUN)
+        if entry.outcome is None:
+            return ttypes.CallOutcome(entry.state)
+        return ttypes.CallOutcome(
+            entry.state,
+            entry.outcome.status,
+            dict(entry.outcome.headers),
+            entry.outcome.body,
+        )
+
+    def expire(self) -> None:
+        """Forget entries past their retention; unfinished calls stay."""
+        now_ms = self.now_ms()
+        self._entries = {
+            nonce: entry
+            for nonce, entry in self._entries.items()
+            if now_ms - entry.changed_at_ms <= _retention_ms(entry)
+        }
+
+
+def _retention_ms(entry: _Entry) -> float:
+    if entry.state == ttypes.OutcomeState.NOT_RUN:
+        return TOMBSTONE_RETENTION_MS
+    if entry.state == ttypes.OutcomeState.IN_PROGRESS:
+        return float('inf')
+    return RECORD_RETENTION_MS
--- /dev/null
+++ b/src/wagtailhollow/internal/agent/ramp.py
@@ -0,0 +1,89 @@
+"""Concurrency cap of a target that may be cold.
+
+A target that has just started carries little and falls over under full load,
+so the cap starts low and is raised by a factor for each round of completed
+calls. Signs that a warm target turned cold again set it back to the start.
+"""
+
+from __future__ import annotations
+
+from ..settings import schema
+from .backends import registry
+
+FIRST_TOKEN_JUMP_FACTOR = 4.0
+FIRST_TOKEN_JUMP_MIN_MS = 200.0
+
+
+class Ramp:
+    """Cap for the calls that run at the target at the same time."""
+
+    def __init__(self, cfg: schema.RampSettings) -> None:
+        self._cfg = cfg
+        self._limit = cfg.max_cap
+        self._cap = float(cfg.initial_cap)
+        self._completed_in_round = 0
+        self._last: registry.BackendLoad | None = None
+
+    @property
+    def cap(self) -> int:
+        """Return the number of calls that may run now."""
+        return max(1, min(int(self._cap), self._limit))
+
+    @property
+    def limit(self) -> int:
+        """Return the upper bound of the cap."""
+        return self._limit
+
+    def set_limit(self, max_concurrent: int) -> None:
+        """Bound the cap by the table's ``max_concurrent``."""
+        self._limit = max(1, min(max_concurrent, self._cfg.max_cap))
+
+    def completed(self, running: int) -> None:
+        """Count a completed call; *running* calls were in progress.
+
+        Only calls completed while at least half of the cap was in use show
+        that the target bears it.
+        """
+        if running * 2 < self.cap:
+            return
+        self._completed_in_round += 1
+        needed = max(self._cfg.completions_per_step, self.cap)
+        if self._completed_in_round >= needed:
+            self._completed_in_round = 0
+            raised = max(self._cap * self._cfg.step_factor, self._cap + 1)
+            self._cap = min(raised, float(self._limit))
+
+    def failed(self) -> None:
+        """Halve the cap after a failure of the target."""
+        self._completed_in_round = 0
+        self._cap = max(float(self._cfg.initial_cap), self._cap / 2)
+
+    def observe(self, load: registry.BackendLoad) -> bool:
+        """Take a load report; return whether the cap was reset."""
+        last, self._last = self._last, load
+        if last is None or not _turned_cold(last, load):
+            return False
+        self.reset()
+        return True
+
+    def reset(self) -> None:
+        """Assume that the target is cold."""
+        self._cap = float(self._cfg.initial_cap)
+        self._completed_in_round = 0
+
+
+def _turned_cold(
+    last: registry.BackendLoad, load: registry.BackendLoad
+) -> bool:
+    restarted = (
+        load.generation != last.generation
+        or load.uptime_s < last.uptime_s
+        or load.completed < last.completed
+    )
+    emptied = last.cached_prefixes > 0 and load.cached_prefixes == 0
+    jumped = (
+        last.first_token_ms > 0
+        and load.first_token_ms > FIRST_TOKEN_JUMP_MIN_MS
+        and load.first_token_ms > FIRST_TOKEN_JUMP_FACTOR * last.first_token_ms
+    )
+    return restarted or emptied or jumped
--- /dev/null
+++ b/src/wagtailhollow/internal/burn/__init__.py
@@ -0,0 +1,1 @@
+"""The report on service-level burn."""
--- /dev/null
+++ b/src/wagtailhollow/internal/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of calls that must not be repeated."""
--- /dev/null
+++ b/src/wagtailhollow/internal/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that the daemons share: life cycle and the HTTP side for operators."""
--- /dev/null
+++ b/src/wagtailhollow/internal/daemon/http.py
@@ -0,0 +1,98 @@
+"""``/metrics``, ``/healthz`` and ``/readyz``, and the HTTP server."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Iterable
+
+import prometheus_client
+import uvicorn
+from starlette import applications, requests, responses, routing
+
+GRACEFUL_TIMEOUT_S = 5
+
+
+def operator_routes(
+    not_ready_reason: Callable[[], str | None],
+) -> list[routing.Route]:
+    """Return the routes for operators.
+
+    :param not_ready_reason: returns why the process should get no work, or
+        None if it is ready.
+    """
+
+    async def healthz(req: requests.Request) -> responses.Response:
+        return responses.PlainTextResponse('ok\n')
+
+    async def readyz(req: requests.Request) -> responses.Response:
+        reason = not_ready_reason()
+        if reason is None:
+            return responses.PlainTextResponse('ready\n')
+        return responses.PlainTextResponse(f'{reason}\n', status_code=503)
+
+    async def metrics(req: requests.Request) -> responses.Response:
+        return responses.Response(
+            prometheus_client.generate_latest(),
+            media_type=prometheus_client.CONTENT_TYPE_LATEST,
+        )
+
+    return [
+        routing.Route('/healthz', healthz),
+        routing.Route('/readyz', readyz),
+        routing.Route('/metrics', metrics),
+    ]
+
+
+class HttpServer:
+    """uvicorn inside the daemon's event loop, without signal handlers."""
+
+    def __init__(
+        self,
+        routes: Iterable[routing.BaseRoute],
+        address: str,
+        max_connections: int = 1_024,
+        max_header_bytes: int = 16_384,
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        cfg = uvicorn.Config(
+            applications.Starlette(routes=list(routes)),
+            host=host,
+            port=int(port),
+            http='httptools',
+            lifespan='off',
+            log_config=None,
+            access_log=False,
+            limit_concurrency=max_connections,
+            h11_max_incomplete_event_size=max_header_bytes,
+            timeout_graceful_shutdown=GRACEFUL_TIMEOUT_S,
+        )
+        self._server = uvicorn.Server(cfg)
+        # The daemon handles signals itself: it drains before it stops.
+        self._server.capture_signals = contextlib.nullcontext
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen; returns once connections are accepted.
+
+        :raises OSError: the address cannot be bound.
+        """
+        self._task = asyncio.create_task(self._serve())
+        while not self._server.started:
+            if self._task.done():
+                await self._task
+                raise OSError('the HTTP server did not start')
+            await asyncio.sleep(0.01)
+
+    async def stop(self) -> None:
+        """Stop listening and close the connections."""
+        self._server.should_exit = True
+        if self._task is not None:
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _serve(self) -> None:
+        try:
+            await self._server.serve()
+        except SystemExit as exc:
+            # uvicorn exits the process if it cannot bind.
+            raise OSError('the HTTP address cannot be bound') from exc
--- /dev/null
+++ b/src/wagtailhollow/internal/daemon/lifecycle.py
@@ -0,0 +1,61 @@
+"""Start, drain and stop of a daemon."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import signal
+from typing import Protocol
+
+from absl import logging
+
+
+class Daemon(Protocol):
+    """What the life cycle needs of a daemon."""
+
+    async def start(self) -> None:
+        """Start all parts."""
+
+    async def drain(self) -> None:
+        """Take no new work and wait until the running work is done."""
+
+    async def stop(self) -> None:
+        """Stop all parts."""
+
+
+async def run(daemon: Daemon) -> int:
+    """Run until SIGTERM or SIGINT, then drain; return the exit code.
+
+    A second signal ends the drain at once.
+    """
+    loop = asyncio.get_running_loop()
+    asked = asyncio.Event()
+    insisted = asyncio.Event()
+
+    def on_signal() -> None:
+        (insisted if asked.is_set() else asked).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    try:
+        await daemon.start()
+    except OSError as exc:
+        logging.error('cannot start: %s', exc)
+        await daemon.stop()
+        return 1
+    logging.info('started')
+    await asked.wait()
+    logging.info('draining')
+    drain = asyncio.create_task(daemon.drain())
+    insist = asyncio.create_task(insisted.wait())
+    await asyncio.wait((drain, insist), return_when=asyncio.FIRST_COMPLETED)
+    insist.cancel()
+    drain.cancel()
+    await daemon.stop()
+    logging.info('stopped')
+    return 0
+
+
+def new_incarnation() -> int:
+    """Return a number that differs for each start of a process."""
+    return secrets.randbits(62)
--- /dev/null
+++ b/src/wagtailhollow/internal/distribution/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps versioned documents current on every node."""
--- /dev/null
+++ b/src/wagtailhollow/internal/distribution/sync.py
@@ -0,0 +1,132 @@
+"""Keeps documents current between peers: versions, deltas and fetches."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+
+from absl import logging
+
+from ... import errors
+from ..observability import metrics
+from ..wire import connection
+from ..wire.gen import ttypes
+from . import document
+
+FETCH_TIMEOUT_S = 2.0
+
+
+class DocumentSync:
+    """Exchanges documents with peers over their connections.
+
+    Versions ride on heartbeats and dispatches. Whoever sees a newer version
+    fetches the change from the peer that named it.
+    """
+
+    def __init__(
+        self,
+        documents: dict[str, document.VersionedDocument],
+        handlers: connection.Handlers,
+    ) -> None:
+        self._documents = documents
+        self._fetching: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        handlers.on_request(ttypes.DocumentFetch)(self._serve_fetch)
+        handlers.on_notice(ttypes.DocumentDelta)(self._take_delta)
+
+    def versions(self) -> list[ttypes.DocumentVersion]:
+        """Return the version of each document, for a heartbeat."""
+        return [
+            ttypes.DocumentVersion(name, item.version)
+            for name, item in self._documents.items()
+        ]
+
+    def notice_versions(
+        self,
+        conn: connection.PeerConnection,
+        versions: list[ttypes.DocumentVersion],
+    ) -> None:
+        """Fetch from *conn* every document that it has in a newer version."""
+        for seen in versions:
+            known = self._documents.get(seen.name)
+            if known is not None and seen.version > known.version:
+                self._start_fetch(conn, seen.name)
+
+    def push(self, conn: connection.PeerConnection, name: str) -> None:
+        """Send the last change of a document to a peer, without a request."""
+        item = self._documents[name]
+        change = item.last_change()
+        if change is not None:
+            with contextlib.suppress(connection.ConnectionLost):
+                conn.post(_delta(name, change))
+
+    async def fetch(self, conn: connection.PeerConnection, name: str) -> None:
+        """Bring a document up to the version of the peer."""
+        item = self._documents[name]
+        reply = await conn.request(
+            ttypes.DocumentFetch(name, item.version), FETCH_TIMEOUT_S
+        )
+        self._take_delta(conn, reply)
+
+    def _start_fetch(self, conn: connection.PeerConnection, name: str) -> None:
+        if name in self._fetching:
+            return
+        self._fetching.add(name)
+        task = asyncio.create_task(self._fetch_once(conn, name))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _fetch_once(
+        self, conn: connection.PeerConnection, name: str
+    ) -> None:
+        try:
+            await self.fetch(conn, name)
+        except (
+            connection.ConnectionLost,
+            TimeoutError,
+            errors.Refusal,
+        ) as exc:
+            logging.info(
+                'fetch of %s from %s failed: %r', name, conn.peer.node, exc
+            )
+        finally:
+            self._fetching.discard(name)
+
+    async def _serve_fetch(
+        self, conn: connection.PeerConnection, message: ttypes.DocumentFetch
+    ) -> ttypes.DocumentDelta:
+        item = self._documents.get(message.name)
+        if item is None:
+            raise errors.Refusal(
+                errors.ErrorKind.BAD_REQUEST,
+                f'no document named {message.name!r}',
+            )
+        return _delta(message.name, item.changes_since(message.have_version))
+
+    def _take_delta(
+        self, conn: connection.PeerConnection, message: ttypes.DocumentDelta
+    ) -> None:
+        item = self._documents.get(message.name)
+        if item is None:
+            return
+        change = document.Change(
+            message.from_version,
+            message.to_version,
+            json.loads(message.rows),
+            tuple(message.removed),
+        )
+        if item.apply(change):
+            metrics.document_version.labels(message.name).set(item.version)
+        elif change.to_version > item.version:
+            self._start_fetch(conn, message.name)
+
+
+def _delta(name: str, change: document.Change) -> ttypes.DocumentDelta:
+    return ttypes.DocumentDelta(
+        name,
+        change.from_version,
+        change.to_version,
+        json.dumps(change.rows, separators=(',', ':')).encode(),
+        list(change.removed),
+    )
--- /dev/null
+++ b/src/wagtailhollow/internal/entry/call.py
@@ -0,0 +1,62 @@
+"""One call of a caller and the way its answer goes back."""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from collections.abc import Mapping
+from typing import Protocol
+
+from ..table import model
+
+
+@dataclasses.dataclass(frozen=True)
+class Call:
+    """A call after identification, before admission.
+
+    :ivar call_id: unique; also the request id that the caller sees.
+    :ivar idempotency_key: the caller's key, or None.
+    :ivar must_not_repeat: whether the call goes through a claim.
+    :ivar tokens: worst case of tokens, for limits.
+    :ivar prefix: start of the prompt, for prefix affinity.
+    :ivar deadline_s: monotonic time by which the answer has to end.
+    """
+
+    call_id: str
+    organisation: str
+    service_name: str
+    service: model.Service
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    idempotency_key: str | None
+    must_not_repeat: bool
+    tokens: int
+    prefix: str
+    deadline_s: float
+    arrived_s: float = dataclasses.field(default_factory=time.monotonic)
+
+    def remaining_s(self) -> float:
+        """Return the time left until the deadline."""
+        return self.deadline_s - time.monotonic()
+
+
+class AnswerSink(Protocol):
+    """Where the answer to one call goes."""
+
+    @property
+    def is_started(self) -> bool:
+        """Return whether the caller has received anything."""
+
+    def served_by(self, data_centre: str) -> None:
+        """Note the data centre of the target that is tried now."""
+
+    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send the head of the answer."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of the body; waits for a slow reader."""
+
+    async def finish(self) -> None:
+        """End the body."""
--- /dev/null
+++ b/src/wagtailhollow/internal/experts/__init__.py
@@ -0,0 +1,1 @@
+"""Expert placement and the switch of expert maps."""
--- /dev/null
+++ b/src/wagtailhollow/internal/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits and budgets of organisations."""
--- /dev/null
+++ b/src/wagtailhollow/internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts exist, which are live, who does which duty."""
--- /dev/null
+++ b/src/wagtailhollow/internal/membership/hosts.py
@@ -0,0 +1,26 @@
+"""The platform's host list as a replicated document."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from ..platform import api
+
+HOSTS_DOCUMENT = 'hosts'
+
+_FIELDS = frozenset(field.name for field in dataclasses.fields(api.HostRow))
+
+
+def to_rows(hosts: Iterable[api.HostRow]) -> dict[str, dict[str, Any]]:
+    """Return the host list as document rows, node name to columns."""
+    return {host.node: dataclasses.asdict(host) for host in hosts}
+
+
+def from_rows(rows: Mapping[str, Mapping[str, Any]]) -> list[api.HostRow]:
+    """Return document rows as typed rows, without unknown columns."""
+    return [
+        api.HostRow(**{key: row[key] for key in row.keys() & _FIELDS})
+        for row in rows.values()
+    ]
--- /dev/null
+++ b/src/wagtailhollow/internal/membership/rendezvous.py
@@ -0,0 +1,25 @@
+"""Rendezvous hashing: who does a duty, without agreement.
+
+Each node ranks all live nodes for a duty by a hash of both names; nodes with
+the same view of the live nodes choose the same ones, and when a node leaves
+only its own duties move.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+
+import xxhash
+
+
+def score(duty: str, node: str) -> int:
+    """Return the rank of *node* for *duty*; the highest wins."""
+    return xxhash.xxh3_64_intdigest(f'{duty}\0{node}')
+
+
+def winners(duty: str, nodes: Iterable[str], count: int) -> list[str]:
+    """Return the *count* highest-ranked nodes for *duty*, best first."""
+    return heapq.nlargest(
+        count, nodes, key=lambda node: (score(duty, node), node)
+    )
--- /dev/null
+++ b/src/wagtailhollow/internal/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/src/wagtailhollow/internal/observability/metrics.py
@@ -0,0 +1,93 @@
+"""All metrics of the daemons, declared once.
+
+Label values are names from the table, so their number is bounded by it;
+anything that a caller can choose freely is not used as a label.
+"""
+
+from __future__ import annotations
+
+import prometheus_client
+
+# The two objectives, 1.5 s and 33 ms, are bucket bounds, so that the share of
+# calls within them can be read off exactly.
+FIRST_TOKEN_BUCKETS_S = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0,
+)  # fmt: skip
+BETWEEN_TOKENS_BUCKETS_S = (
+    0.005, 0.01, 0.02, 0.033, 0.05, 0.1, 0.25, 1.0,
+)  # fmt: skip
+
+CALL_LABELS = ('service', 'organisation', 'data_centre')
+
+calls = prometheus_client.Counter(
+    'wagtailhollow_calls',
+    'Calls answered by the entry, by result (ok or an error kind).',
+    (*CALL_LABELS, 'result'),
+)
+first_token = prometheus_client.Histogram(
+    'wagtailhollow_first_token_seconds',
+    'Time from the arrival of a call to its first answer byte.',
+    CALL_LABELS,
+    buckets=FIRST_TOKEN_BUCKETS_S,
+)
+between_tokens = prometheus_client.Histogram(
+    'wagtailhollow_between_tokens_seconds',
+    'Mean time between the tokens of one streamed answer.',
+    CALL_LABELS,
+    buckets=BETWEEN_TOKENS_BUCKETS_S,
+)
+attempts = prometheus_client.Counter(
+    'wagtailhollow_attempts',
+    'Dispatches to agents, by result (accepted or an error kind).',
+    ('service', 'result'),
+)
+resumed_streams = prometheus_client.Counter(
+    'wagtailhollow_resumed_streams',
+    'Streams resumed after a lost connection.',
+    ('service',),
+)
+document_version = prometheus_client.Gauge(
+    'wagtailhollow_document_version',
+    'Version in force of each replicated document.',
+    ('document',),
+)
+document_checked = prometheus_client.Gauge(
+    'wagtailhollow_document_checked_timestamp_seconds',
+    'Unix time at which the document was last known to be current.',
+    ('document',),
+)
+platform_calls = prometheus_client.Counter(
+    'wagtailhollow_platform_calls',
+    'Calls to the platform, by operation and result.',
+    ('operation', 'result'),
+)
+target_cap = prometheus_client.Gauge(
+    'wagtailhollow_target_cap', 'Concurrency cap of the target.'
+)
+target_running = prometheus_client.Gauge(
+    'wagtailhollow_target_running', 'Calls running at the target.'
+)
+target_cold_resets = prometheus_client.Counter(
+    'wagtailhollow_target_cold_resets',
+    'Resets of the cap because the target turned cold.',
+)
+gate_refusals = prometheus_client.Counter(
+    'wagtailhollow_gate_refusals',
+    'Dispatches refused by the agent, by error kind.',
+    ('kind',),
+)
+budget_used_share = prometheus_client.Gauge(
+    'wagtailhollow_budget_used_share',
+    'Share of the daily budget reserved, as known to its owner.',
+    ('organisation',),
+)
+claim_outcomes = prometheus_client.Counter(
+    'wagtailhollow_claim_outcomes',
+    'Claimed calls by outcome: done, not_run, unknown, in_progress.',
+    ('service', 'outcome'),
+)
+peer_bytes = prometheus_client.Counter(
+    'wagtailhollow_peer_control_bytes',
+    'Bytes of control messages, by direction.',
+    ('direction',),
+)
--- /dev/null
+++ b/src/wagtailhollow/internal/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry budgets, deadlines and hedging."""
--- /dev/null
+++ b/src/wagtailhollow/internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the target for a call."""
--- /dev/null
+++ b/src/wagtailhollow/internal/routing/power_of_two.py
@@ -0,0 +1,26 @@
+"""Power of two choices: the less loaded of two random candidates."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+
+from . import policy
+
+
+@policy.routing_policy('power_of_two')
+class PowerOfTwo:
+    """Avoids herding on the target whose lagging report is lowest."""
+
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
+
+    def choose(
+        self, candidates: Sequence[policy.Candidate], prefix: str
+    ) -> policy.Candidate:
+        """Return the less loaded of two candidates drawn by weight."""
+        if len(candidates) == 1:
+            return candidates[0]
+        weights = [candidate.weight for candidate in candidates]
+        drawn = self._rng.choices(candidates, weights=weights, k=2)
+        return min(drawn, key=lambda candidate: candidate.load)
--- /dev/null
+++ b/src/wagtailhollow/internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: typed, validated before anything starts."""
--- /dev/null
+++ b/src/wagtailhollow/internal/settings/schema.py
@@ -0,0 +1,170 @@
+"""Settings of each program. One frozen dataclass for each file."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from . import loader
+
+_ADDRESS = 'host:port with a numeric port'
+_URL = 'an http:// or https:// URL'
+_NAME = 'a name of 1 to 64 letters, digits, dots, dashes or underscores'
+_LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+
+
+def _is_name(value: str) -> bool:
+    return 0 < len(value) <= 64 and all(
+        char.isalnum() or char in '._-' for char in value
+    )
+
+
+def _name(**kwargs: str) -> str:
+    return loader.setting(allowed=_NAME, check=_is_name, **kwargs)
+
+
+def _address() -> str:
+    return loader.setting(allowed=_ADDRESS, check=loader.is_address)
+
+
+def _log_level() -> str:
+    return loader.setting(
+        'info',
+        allowed='one of ' + ', '.join(_LOG_LEVELS),
+        check=lambda value: value in _LOG_LEVELS,
+    )
+
+
+def _seconds(default: float, low: float, high: float) -> float:
+    return loader.setting(
+        default,
+        allowed=f'seconds from {low} to {high}',
+        check=loader.between(low, high),
+    )
+
+
+def _count(default: int, low: int, high: int) -> int:
+    return loader.setting(
+        default,
+        allowed=f'a whole number from {low} to {high}',
+        check=loader.between(low, high),
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class RequestLimits:
+    """Bounds on what one caller's request may cost an entry."""
+
+    max_body_bytes: int = _count(1_000_000, 1, 1_900_000)
+    max_header_bytes: int = _count(16_384, 1_024, 65_536)
+    max_connections: int = _count(2_048, 1, 65_536)
+    max_waiting_calls: int = _count(512, 0, 65_536)
+    body_timeout_s: float = _seconds(10.0, 0.1, 600.0)
+    max_wait_s: float = _seconds(1.0, 0.0, 60.0)
+    call_deadline_s: float = _seconds(300.0, 0.1, 3600.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class EntrySettings:
+    """Settings of the entry daemon."""
+
+    node: str = _name()
+    data_centre: str = _name()
+    deployment: str = _name()
+    listen_http: str = _address()
+    listen_peers: str = _address()
+    platform_url: str = loader.setting(allowed=_URL, check=loader.is_url)
+    peer_keys_file: str = loader.setting(allowed='path of the key file')
+    region: str = _name(default='default')
+    request_limits: RequestLimits = loader.setting(
+        RequestLimits(), allowed='an object'
+    )
+    limit_method: str = loader.setting(
+        'owner_blocks', allowed='the name of a limit method'
+    )
+    drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
+    log_level: str = _log_level()
+
+
+@dataclasses.dataclass(frozen=True)
+class BackendSettings:
+    """The target beside an agent."""
+
+    kind: str = loader.setting(
+        allowed='one of model_engine, plain_service',
+        check=lambda value: value in ('model_engine', 'plain_service'),
+    )
+    url: str = loader.setting(allowed=_URL, check=loader.is_url)
+    models: tuple[str, ...] = loader.setting((), allowed='a list of names')
+
+
+@dataclasses.dataclass(frozen=True)
+class RampSettings:
+    """Growth of the concurrency cap of a fresh target."""
+
+    initial_cap: int = _count(2, 1, 1_024)
+    max_cap: int = _count(64, 1, 65_536)
+    completions_per_step: int = _count(2, 1, 1_000)
+    step_factor: float = loader.setting(
+        1.5,
+        allowed='a factor from 1.05 to 4',
+        check=loader.between(1.05, 4),
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class AgentSettings:
+    """Settings of the agent daemon."""
+
+    node: str = _name()
+    data_centre: str = _name()
+    deployment: str = _name()
+    target: str = _name()
+    service: str = _name()
+    listen_peers: str = _address()
+    listen_http: str = _address()
+    platform_url: str = loader.setting(allowed=_URL, check=loader.is_url)
+    peer_keys_file: str = loader.setting(allowed='path of the key file')
+    backend: BackendSettings = loader.setting(allowed='an object')
+    ramp: RampSettings = loader.setting(RampSettings(), allowed='an object')
+    group: str | None = loader.setting(None, allowed='a group name or null')
+    rank: int | None = loader.setting(
+        None,
+        allowed='the rank in the group, 0 to 4095, or null',
+        check=loader.between(0, 4095),
+    )
+    drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
+    log_level: str = _log_level()
+
+
+@dataclasses.dataclass(frozen=True)
+class OperatorSettings:
+    """Settings of the operators' client."""
+
+    operator: str = _name()
+    deployment: str = _name()
+    platform_url: str = loader.setting(allowed=_URL, check=loader.is_url)
+    peer_keys_file: str = loader.setting(allowed='path of the key file')
+    timeout_s: float = _seconds(10.0, 0.1, 600.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class BurnSettings:
+    """Settings of the report on service-level burn."""
+
+    sources: tuple[str, ...] = loader.setting(
+        allowed='a list of /metrics URLs of entries',
+        check=lambda value: bool(value) and all(map(loader.is_url, value)),
+    )
+    history_file: str = loader.setting(
+        'burn-history.jsonl', allowed='path of the sample history'
+    )
+    first_token_s: float = _seconds(1.5, 0.001, 60.0)
+    between_tokens_s: float = _seconds(0.033, 0.001, 60.0)
+    latency_objective: float = loader.setting(
+        0.95, allowed='a share from 0.5 to 1', check=loader.between(0.5, 1)
+    )
+    availability_objective: float = loader.setting(
+        0.999, allowed='a share from 0.5 to 1', check=loader.between(0.5, 1)
+    )
+    short_window_s: float = _seconds(300.0, 1.0, 86_400.0)
+    long_window_s: float = _seconds(3_600.0, 1.0, 604_800.0)
--- /dev/null
+++ b/src/wagtailhollow/internal/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Reassembly of streamed answers."""
--- /dev/null
+++ b/src/wagtailhollow/internal/table/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' table of weights and limits."""
--- /dev/null
+++ b/src/wagtailhollow/internal/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and connections between the processes of one deployment."""
--- /dev/null
+++ b/src/wagtailhollow/internal/wire/codec.py
@@ -0,0 +1,140 @@
+"""Frames: a 4-byte big-endian length and one Envelope in compact protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import struct
+from typing import Any
+
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+from ... import errors
+from .gen import ttypes
+
+MAX_FRAME_BYTES = 2 * 1024 * 1024
+_LENGTH = struct.Struct('>I')
+
+_FIELD_OF_TYPE: dict[type, str] = {
+    spec[3][0]: spec[2] for spec in ttypes.Body.thrift_spec if spec is not None
+}
+
+# Fields marked optional in the IDL; the generated code does not record it.
+_OPTIONAL: dict[type, frozenset[str]] = {
+    ttypes.Heartbeat: frozenset({'load', 'echo_sent_at_ms', 'group_summary'}),
+    ttypes.Dispatch: frozenset({'claim'}),
+    ttypes.DispatchReply: frozenset({'kind', 'message', 'load'}),
+    ttypes.CallOutcome: frozenset({'status', 'headers', 'body'}),
+    ttypes.BlockGrant: frozenset({'kind'}),
+    ttypes.RankState: frozenset({'kind'}),
+    ttypes.StatusRequest: frozenset({'argument'}),
+}
+
+_REQUIRED: dict[type, tuple[str, ...]] = {
+    cls: tuple(
+        name
+        for name in cls.__slots__
+        if name not in _OPTIONAL.get(cls, frozenset())
+    )
+    for cls in _FIELD_OF_TYPE
+}
+
+Message = Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """One decoded frame.
+
+    :ivar request_id: correlates a reply with its request; 0 is one-way.
+    :ivar is_reply: whether the message answers a request of the receiver.
+    :ivar message: an instance of one of the structs in the IDL's Body union.
+    """
+
+    request_id: int
+    is_reply: bool
+    message: Message
+
+
+def encode(
+    message: Message, request_id: int = 0, is_reply: bool = False
+) -> bytes:
+    """Return the frame for *message*, length prefix included.
+
+    :raises Refusal: BAD_FRAME if the frame would exceed MAX_FRAME_BYTES.
+    """
+    body = ttypes.Body()
+    setattr(body, _FIELD_OF_TYPE[type(message)], message)
+    buffer = TTransport.TMemoryBuffer()
+    protocol = TCompactProtocol.TCompactProtocolAccelerated(buffer)
+    ttypes.Envelope(request_id, is_reply, body).write(protocol)
+    payload = buffer.getvalue()
+    if len(payload) > MAX_FRAME_BYTES:
+        raise errors.Refusal(
+            errors.ErrorKind.BAD_FRAME,
+            f'a frame of {len(payload)} bytes exceeds the limit of '
+            f'{MAX_FRAME_BYTES}',
+        )
+    return _LENGTH.pack(len(payload)) + payload
+
+
+def decode(payload: bytes) -> Received:
+    """Return the message in *payload*, which is a frame without its length.
+
+    :raises Refusal: BAD_FRAME for anything that is not one whole message.
+    """
+    protocol = TCompactProtocol.TCompactProtocolAccelerated(
+        TTransport.TMemoryBuffer(payload)
+    )
+    envelope = ttypes.Envelope()
+    try:
+        envelope.read(protocol)
+    except Exception as exc:
+        # The C decoder raises EOFError, TypeError, UnicodeDecodeError and
+        # others for malformed input; all of them mean the same here.
+        raise errors.Refusal(
+            errors.ErrorKind.BAD_FRAME, f'a frame cannot be decoded: {exc!r}'
+        ) from exc
+    return Received(
+        envelope.request_id or 0,
+        bool(envelope.is_reply),
+        _message_of(envelope.body),
+    )
+
+
+def _message_of(body: ttypes.Body | None) -> Message:
+    found = [
+        value
+        for name in ttypes.Body.__slots__
+        if (value := getattr(body, name, None)) is not None
+    ]
+    if len(found) != 1:
+        raise errors.Refusal(
+            errors.ErrorKind.BAD_FRAME,
+            f'an envelope holds {len(found)} messages instead of one',
+        )
+    message = found[0]
+    for name in _REQUIRED[type(message)]:
+        if getattr(message, name) is None:
+            raise errors.Refusal(
+                errors.ErrorKind.BAD_FRAME,
+                f'{type(message).__name__} lacks the field {name}',
+            )
+    return message
+
+
+async def read_frame(reader: asyncio.StreamReader) -> bytes:
+    """Read one frame and return it without its length.
+
+    :raises Refusal: BAD_FRAME if the announced length is over the limit.
+    :raises asyncio.IncompleteReadError: if the connection ends.
+    """
+    (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+    if length > MAX_FRAME_BYTES:
+        raise errors.Refusal(
+            errors.ErrorKind.BAD_FRAME,
+            f'a frame of {length} bytes exceeds the limit of '
+            f'{MAX_FRAME_BYTES}',
+        )
+    return await reader.readexactly(length)
--- /dev/null
+++ b/src/wagtailhollow/internal/wire/connection.py
@@ -0,0 +1,288 @@
+"""One authenticated, multiplexed connection between two processes.
+
+A connection has one reader task. Requests are answered from tasks of their
+own, so that a slow one does not hold up the others; one-way messages are
+handled in the reader task, in the order in which they arrive. Both ends send
+a heartbeat each second, and :data:`SILENCE_LIMIT_S` without a byte closes the
+connection: a connection whose state was lost by something in between stays
+open for ever otherwise.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Awaitable, Callable
+
+from absl import logging
+
+from ... import errors
+from . import auth, codec
+from .gen import ttypes
+
+HEARTBEAT_PERIOD_S = 1.0
+SILENCE_LIMIT_S = 3.0
+MAX_CONCURRENT_REQUESTS = 1024
+WRITE_BUFFER_LIMIT_BYTES = 4 * 1024 * 1024
+
+RequestHandler = Callable[
+    ['PeerConnection', codec.Message], Awaitable[codec.Message]
+]
+NoticeHandler = Callable[['PeerConnection', codec.Message], None]
+HeartbeatSource = Callable[['PeerConnection'], ttypes.Heartbeat]
+
+
+class ConnectionLost(Exception):
+    """The connection ended before the reply came."""
+
+
+class Handlers:
+    """Registry of message handlers, filled by decorators.
+
+    ``on_request`` handlers are coroutines that return the reply;
+    ``on_notice`` handlers are plain functions for one-way messages.
+    """
+
+    def __init__(self) -> None:
+        self.requests: dict[type, RequestHandler] = {}
+        self.notices: dict[type, NoticeHandler] = {}
+        self.opened: list[Callable[[PeerConnection], None]] = []
+        self.closed: list[Callable[[PeerConnection], None]] = []
+
+    def on_request(
+        self, message_type: type
+    ) -> Callable[[RequestHandler], RequestHandler]:
+        """Register a coroutine as the handler of a request type."""
+
+        def register(handler: RequestHandler) -> RequestHandler:
+            self.requests[message_type] = handler
+            return handler
+
+        return register
+
+    def on_notice(
+        self, message_type: type
+    ) -> Callable[[NoticeHandler], NoticeHandler]:
+        """Register a function as the handler of a one-way message type."""
+
+        def register(handler: NoticeHandler) -> NoticeHandler:
+            self.notices[message_type] = handler
+            return handler
+
+        return register
+
+
+class PeerConnection:
+    """An established connection to a proven peer."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        peer: auth.Identity,
+        handlers: Handlers,
+        heartbeat: HeartbeatSource,
+    ) -> None:
+        self.peer = peer
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._reader = reader
+        self._writer = writer
+        self._handlers = handlers
+        self._heartbeat = heartbeat
+        self._request_ids = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[codec.Message]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._last_received = asyncio.get_running_loop().time()
+        self._closed = False
+        self._close_reason = ''
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether messages can still be sent."""
+        return not self._closed
+
+    @property
+    def close_reason(self) -> str:
+        """Return why the connection closed, or ''."""
+        return self._close_reason
+
+    def post(self, message: codec.Message) -> None:
+        """Send a one-way message without waiting for the socket."""
+        self._write(codec.encode(message))
+
+    async def send(self, message: codec.Message) -> None:
+        """Send a one-way message and wait while the socket is congested."""
+        self._write(codec.encode(message))
+        with contextlib.suppress(ConnectionError):
+            await self._writer.drain()
+
+    async def request(
+        self, message: codec.Message, timeout_s: float
+    ) -> codec.Message:
+        """Send a request and return its reply.
+
+        :raises ConnectionLost: the connection ended first.
+        :raises TimeoutError: no reply within *timeout_s*.
+        :raises Refusal: the peer answered with a Reject.
+        """
+        request_id = next(self._request_ids)
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[request_id] = fut
+        try:
+            self._write(codec.encode(message, request_id))
+            async with asyncio.timeout(timeout_s):
+                reply = await fut
+        finally:
+            self._waiting.pop(request_id, None)
+        if isinstance(reply, ttypes.Reject):
+            raise errors.Refusal(
+                errors.kind_from_wire(reply.kind), reply.message
+            )
+        return reply
+
+    async def run(self) -> None:
+        """Read and handle messages until the connection ends."""
+        beat = asyncio.create_task(self._send_heartbeats())
+        for callback in self._handlers.opened:
+            callback(self)
+        try:
+            while not self._closed:
+                payload = await codec.read_frame(self._reader)
+                self.bytes_received += len(payload) + 4
+                self._last_received = asyncio.get_running_loop().time()
+                self._handle(codec.decode(payload))
+        except (asyncio.IncompleteReadError, ConnectionError) as exc:
+            self.close(f'closed by the peer ({type(exc).__name__})')
+        except errors.Refusal as exc:
+            self._write_reject(0, exc)
+            self.close(str(exc))
+        finally:
+            beat.cancel()
+            self.close('reader stopped')
+            for task in list(self._tasks):
+                task.cancel()
+            for callback in self._handlers.closed:
+                callback(self)
+
+    def close(self, reason: str) -> None:
+        """Close the connection; waiting requests fail with ConnectionLost."""
+        if self._closed:
+            return
+        self._closed = True
+        self._close_reason = reason
+        waiting = list(self._waiting.values())
+        self._waiting.clear()
+        for fut in waiting:
+            if not fut.done():
+                fut.set_exception(ConnectionLost(reason))
+        if not self._writer.transport.is_closing():
+            # abort() rather than close(): buffered bytes to a silent peer
+            # would keep the transport open for ever.
+            self._writer.close()
+            asyncio.get_running_loop().call_later(
+                1.0, self._writer.transport.abort
+            )
+
+    def _write(self, frame: bytes) -> None:
+        if self._closed:
+            raise ConnectionLost(self._close_reason)
+        self._writer.write(frame)
+        self.bytes_sent += len(frame)
+        pending = self._writer.transport.get_write_buffer_size()
+        if pending > WRITE_BUFFER_LIMIT_BYTES:
+            self.close(f'{pending} bytes wait to be sent')
+
+    def _write_reject(self, request_id: int, exc: errors.Refusal) -> None:
+        with contextlib.suppress(ConnectionLost):
+            self._write(
+                codec.encode(
+                    ttypes.Reject(exc.kind.value, exc.message),
+                    request_id,
+                    is_reply=True,
+                )
+            )
+
+    def _handle(self, received: codec.Received) -> None:
+        if received.is_reply:
+            fut = self._waiting.pop(received.request_id, None)
+            if fut is not None and not fut.done():
+                fut.set_result(received.message)
+        elif received.request_id:
+            self._handle_request(received)
+        else:
+            handler = self._handlers.notices.get(type(received.message))
+            if handler is not None:
+                handler(self, received.message)
+
+    def _handle_request(self, received: codec.Received) -> None:
+        handler = self._handlers.requests.get(type(received.message))
+        name = type(received.message).__name__
+        if handler is None:
+            refusal = errors.Refusal(
+                errors.ErrorKind.BAD_FRAME, f'{name} is not served here'
+            )
+            self._write_reject(received.request_id, refusal)
+        elif len(self._tasks) >= MAX_CONCURRENT_REQUESTS:
+            refusal = errors.Refusal(
+                errors.ErrorKind.OVERLOADED,
+                f'{MAX_CONCURRENT_REQUESTS} requests are being handled',
+            )
+            self._write_reject(received.request_id, refusal)
+        else:
+            task = asyncio.create_task(self._answer(handler, received))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _answer(
+        self, handler: RequestHandler, received: codec.Received
+    ) -> None:
+        try:
+            reply = await handler(self, received.message)
+            self._write(
+                codec.encode(reply, received.request_id, is_reply=True)
+            )
+        except errors.Refusal as exc:
+            self._write_reject(received.request_id, exc)
+        except ConnectionLost:
+            pass
+        except Exception as exc:
+            logging.exception('handler of %r failed', type(received.message))
+            refusal = errors.Refusal(errors.ErrorKind.INTERNAL, repr(exc))
+            self._write_reject(received.request_id, refusal)
+
+    async def _send_heartbeats(self) -> None:
+        loop = asyncio.get_running_loop()
+        while not self._closed:
+            with contextlib.suppress(ConnectionLost):
+                self.post(self._heartbeat(self))
+            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+            silent_s = loop.time() - self._last_received
+            if silent_s > SILENCE_LIMIT_S:
+                self.close(f'silent for {silent_s:.1f} s')
+                self._writer.transport.abort()
+
+
+async def connect(
+    address: str,
+    local: auth.Identity,
+    key_ring: auth.KeyRing,
+    handlers: Handlers,
+    heartbeat: HeartbeatSource,
+    timeout_s: float = 3.0,
+) -> PeerConnection:
+    """Connect to *address* (``host:port``) and prove both ends.
+
+    :raises OSError, TimeoutError: the peer cannot be reached.
+    :raises Refusal: the proof failed.
+    """
+    host, _, port = address.rpartition(':')
+    async with asyncio.timeout(timeout_s):
+        reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        peer = await auth.handshake(reader, writer, local, key_ring, True)
+    except BaseException:
+        writer.transport.abort()
+        raise
+    return PeerConnection(reader, writer, peer, handlers, heartbeat)
--- /dev/null
+++ b/src/wagtailhollow/internal/wire/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/src/wagtailhollow/internal/wire/server.py
@@ -0,0 +1,86 @@
+"""Accepts peer connections and runs one task for each."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from absl import logging
+
+from ... import errors
+from . import auth, codec, connection
+from .gen import ttypes
+
+MAX_PEER_CONNECTIONS = 1024
+
+
+class PeerServer:
+    """Listens for peers and keeps their open connections by node name."""
+
+    def __init__(
+        self,
+        local: auth.Identity,
+        key_ring: auth.KeyRing,
+        handlers: connection.Handlers,
+        heartbeat: connection.HeartbeatSource,
+    ) -> None:
+        self._local = local
+        self._key_ring = key_ring
+        self._handlers = handlers
+        self._heartbeat = heartbeat
+        self._server: asyncio.Server | None = None
+        self._count = 0
+        self.connections: dict[str, connection.PeerConnection] = {}
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen and return the port, which the system chooses for 0."""
+        self._server = await asyncio.start_server(self._accept, host, port)
+        return self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for conn in list(self.connections.values()):
+            conn.close('this process stops')
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._count += 1
+        try:
+            if self._count > MAX_PEER_CONNECTIONS:
+                raise errors.Refusal(
+                    errors.ErrorKind.OVERLOADED,
+                    f'{MAX_PEER_CONNECTIONS} peers are connected',
+                )
+            peer = await auth.handshake(
+                reader, writer, self._local, self._key_ring, False
+            )
+            await self._run(reader, writer, peer)
+        except errors.Refusal as exc:
+            logging.warning('peer refused: %s', exc)
+            with contextlib.suppress(ConnectionError):
+                reject = ttypes.Reject(exc.kind.value, exc.message)
+                writer.write(codec.encode(reject))
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
+            logging.info('peer left before its proof: %r', exc)
+        finally:
+            self._count -= 1
+            writer.close()
+
+    async def _run(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        peer: auth.Identity,
+    ) -> None:
+        conn = connection.PeerConnection(
+            reader, writer, peer, self._handlers, self._heartbeat
+        )
+        self.connections[peer.node] = conn
+        try:
+            await conn.run()
+        finally:
+            if self.connections.get(peer.node) is conn:
+                del self.connections[peer.node]
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,296 @@
+"""Fake of a model engine with an OpenAI-style API.
+
+It produces ``max_tokens`` tokens, one each ``--token-ms``, whose text depends
+only on the request, so that a test can compute the whole answer with
+:func:`expected_text`. Above its concurrency it slows down, and above
+``--fall-over`` running calls it fails everything for a while, as a cold engine
+does. It keeps streams for a time so that they can be resumed.
+
+Faults by ``POST /faults``: ``stall_s``, ``cold`` (new generation, empty
+cache, low capacity), ``cross_answers``, ``refuse``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import secrets
+import time
+from collections.abc import AsyncIterator, Iterator
+from typing import Any
+
+from starlette import applications, requests, responses, routing
+
+from . import serving
+
+KEEP_FINISHED_S = 30.0
+FALLEN_S = 2.0
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults in force."""
+
+    stall_s: float = 0.0
+    cross_answers: bool = False
+    refuse: bool = False
+
+
+class Stream:
+    """One generation in progress; readers come and go."""
+
+    def __init__(self, call_id: str) -> None:
+        self.call_id = call_id
+        self.data = bytearray()
+        self.is_done = False
+        self.is_failed = False
+        self.grown = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+    def append(self, data: bytes) -> None:
+        """Add bytes and wake the readers."""
+        self.data += data
+        self._wake()
+
+    def end(self, failed: bool) -> None:
+        """End the stream."""
+        self.is_done = True
+        self.is_failed = failed
+        self._wake()
+
+    async def read(self, offset: int) -> AsyncIterator[bytes]:
+        """Yield the bytes from *offset* to the end."""
+        while True:
+            if len(self.data) > offset:
+                data = bytes(self.data[offset:])
+                offset += len(data)
+                yield data
+            elif self.is_done:
+                if self.is_failed:
+                    raise ConnectionAbortedError('the engine failed')
+                return
+            else:
+                await self.grown.wait()
+
+    def _wake(self) -> None:
+        self.grown.set()
+        self.grown = asyncio.Event()
+
+
+def tokens_of(document: dict[str, Any]) -> Iterator[str]:
+    """Yield the tokens that an engine produces for a request."""
+    seed = hashlib.sha256(
+        json.dumps(document.get('messages'), sort_keys=True).encode()
+    ).hexdigest()
+    for index in range(int(document.get('max_tokens', 16))):
+        yield f'{seed[index % 56 : index % 56 + 8]}-{index} '
+
+
+def expected_text(document: dict[str, Any]) -> str:
+    """Return the whole text that an engine produces for a request."""
+    return ''.join(tokens_of(document))
+
+
+class Engine:
+    """State of the fake and its HTTP handlers."""
+
+    def __init__(
+        self,
+        token_ms: float,
+        first_ms: float,
+        capacity: int,
+        fall_over: int,
+        warm_after: int,
+    ) -> None:
+        self._token_s = token_ms / 1000
+        self._first_s = first_ms / 1000
+        self._capacity = capacity
+        self._fall_over = fall_over
+        self._warm_after = warm_after
+        self._streams: dict[str, Stream] = {}
+        self._faults = Faults()
+        self._fallen_until = 0.0
+        self.falls = 0
+        self.peak_running = 0
+        self.started = 0
+        self.cancelled = 0
+        self._become_new()
+
+    def _become_new(self) -> None:
+        self._generation = secrets.randbits(40)
+        self._started_at = time.monotonic()
+        self._completed = 0
+        self._cache: set[str] = set()
+        self.hits = 0
+
+    def app(self) -> applications.Starlette:
+        """Return the ASGI application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route(
+                    '/v1/chat/completions', self._chat, methods=['POST']
+                ),
+                routing.Route(
+                    '/v1/streams/{id}',
+                    self._stream,
+                    methods=['GET', 'DELETE'],
+                ),
+                routing.Route('/load', self._load),
+                routing.Route('/faults', self._set_faults, methods=['POST']),
+            ]
+        )
+
+    @property
+    def _running(self) -> int:
+        return sum(not stream.is_done for stream in self._streams.values())
+
+    def _bearable(self) -> int:
+        """Return the running calls that it bears; less while it is cold."""
+        if self._completed >= self._warm_after:
+            return self._fall_over
+        share = self._completed / self._warm_after
+        return max(3, int(self._fall_over * share))
+
+    async def _chat(self, req: requests.Request) -> responses.Response:
+        document = await req.json()
+        if self._faults.refuse or time.monotonic() < self._fallen_until:
+            return responses.JSONResponse({'error': 'down'}, 503)
+        call_id = req.headers.get('x-request-id') or secrets.token_hex(8)
+        self.started += 1
+        stream = Stream(call_id)
+        self._streams[call_id] = stream
+        stream.task = asyncio.create_task(self._generate(stream, document))
+        self.peak_running = max(self.peak_running, self._running)
+        if self._running > self._bearable():
+            self._fall()
+        if self._faults.cross_answers and len(self._streams) > 1:
+            stream = next(iter(self._streams.values()))
+        if document.get('stream'):
+            return self._answer(stream, 0)
+        await stream.task
+        return self._whole(stream, document)
+
+    def _fall(self) -> None:
+        self.falls += 1
+        self._fallen_until = time.monotonic() + FALLEN_S
+        for stream in self._streams.values():
+            if not stream.is_done and stream.task is not None:
+                stream.task.cancel()
+                stream.end(failed=True)
+
+    async def _generate(
+        self, stream: Stream, document: dict[str, Any]
+    ) -> None:
+        prefix = json.dumps(document.get('messages'))[:256]
+        is_hit = prefix in self._cache
+        self.hits += is_hit
+        self._cache.add(prefix)
+        await asyncio.sleep(self._first_s * (0.3 if is_hit else 1.0))
+        for index, token in enumerate(tokens_of(document)):
+            if self._faults.stall_s:
+                await asyncio.sleep(self._faults.stall_s)
+            chunk = {
+                'id': stream.call_id,
+                'object': 'chat.completion.chunk',
+                'model': document.get('model'),
+                'choices': [{'index': 0, 'delta': {'content': token}}],
+            }
+            stream.append(f'data: {json.dumps(chunk)}\n\n'.encode())
+            slowdown = max(1.0, self._running / self._capacity)
+            if index >= 0:
+                await asyncio.sleep(self._token_s * slowdown)
+        stream.append(b'data: [DONE]\n\n')
+        self._completed += 1
+        stream.end(failed=False)
+        asyncio.get_running_loop().call_later(
+            KEEP_FINISHED_S, self._streams.pop, stream.call_id, None
+        )
+
+    def _answer(self, stream: Stream, offset: int) -> responses.Response:
+        return responses.StreamingResponse(
+            stream.read(offset),
+            media_type='text/event-stream',
+            headers={'x-request-id': stream.call_id},
+        )
+
+    def _whole(
+        self, stream: Stream, document: dict[str, Any]
+    ) -> responses.Response:
+        text = expected_text(document)
+        body = {
+            'id': stream.call_id,
+            'object': 'chat.completion',
+            'model': document.get('model'),
+            'choices': [
+                {
+                    'index': 0,
+                    'finish_reason': 'stop',
+                    'message': {'role': 'assistant', 'content': text},
+                }
+            ],
+            'usage': {'completion_tokens': text.count(' ')},
+        }
+        return responses.JSONResponse(
+            body, headers={'x-request-id': stream.call_id}
+        )
+
+    async def _stream(self, req: requests.Request) -> responses.Response:
+        stream = self._streams.get(req.path_params['id'])
+        if stream is None:
+            return responses.JSONResponse({'error': 'unknown stream'}, 404)
+        if req.method == 'DELETE':
+            if not stream.is_done:
+                self.cancelled += 1
+                stream.task.cancel()
+                stream.end(failed=True)
+            return responses.JSONResponse({})
+        return self._answer(stream, int(req.query_params['offset']))
+
+    async def _load(self, req: requests.Request) -> responses.Response:
+        if self._faults.refuse:
+            return responses.JSONResponse({'error': 'down'}, 503)
+        return responses.JSONResponse(
+            {
+                'generation': self._generation,
+                'running': self._running,
+                'queued': 0,
+                'completed': self._completed,
+                'uptime_s': time.monotonic() - self._started_at,
+                'first_token_ms': self._first_s * 1000,
+                'cached_prefixes': len(self._cache),
+                'hits': self.hits,
+                'started': self.started,
+                'cancelled': self.cancelled,
+                'falls': self.falls,
+                'peak_running': self.peak_running,
+            }
+        )
+
+    async def _set_faults(self, req: requests.Request) -> responses.Response:
+        document = await req.json()
+        if document.pop('cold', False):
+            self._become_new()
+        self._faults = dataclasses.replace(self._faults, **document)
+        return responses.JSONResponse(dataclasses.asdict(self._faults))
+
+
+if __name__ == '__main__':
+    parser = serving.parser(__doc__)
+    parser.add_argument('--token-ms', type=float, default=5.0)
+    parser.add_argument('--first-ms', type=float, default=20.0)
+    parser.add_argument('--capacity', type=int, default=32)
+    parser.add_argument('--fall-over', type=int, default=64)
+    parser.add_argument('--warm-after', type=int, default=24)
+    args = parser.parse_args()
+    serving.run(
+        lambda: Engine(
+            args.token_ms,
+            args.first_ms,
+            args.capacity,
+            args.fall_over,
+            args.warm_after,
+        ).app(),
+        args.port,
+    )
--- /dev/null
+++ b/standins/plain_service.py
@@ -0,0 +1,100 @@
+"""Fake of a plain service that takes orders and counts executions.
+
+``POST /orders`` with ``{"key": ...}`` executes an order; ``GET /executions``
+returns key to number of executions; ``GET /orders/<key>`` looks one up. Faults
+by ``POST /faults``: ``delay_s`` before the answer, after the execution;
+``delay_before_s`` before the execution; ``fail_after`` (execute, then close
+the connection without an answer).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import secrets
+import time
+
+from starlette import applications, requests, responses, routing
+
+from . import serving
+
+
+@dataclasses.dataclass
+class Faults:
+    """Faults in force."""
+
+    delay_s: float = 0.0
+    delay_before_s: float = 0.0
+    fail_after: bool = False
+
+
+class PlainService:
+    """State of the fake and its HTTP handlers."""
+
+    def __init__(self) -> None:
+        self._executions: collections.Counter[str] = collections.Counter()
+        self._faults = Faults()
+        self._generation = secrets.randbits(40)
+        self._started_at = time.monotonic()
+        self._running = 0
+        self._completed = 0
+
+    def app(self) -> applications.Starlette:
+        """Return the ASGI application."""
+        return applications.Starlette(
+            routes=[
+                routing.Route('/orders', self._order, methods=['POST']),
+                routing.Route('/orders/{key}', self._look_up),
+                routing.Route('/executions', self._get_executions),
+                routing.Route('/load', self._load),
+                routing.Route('/faults', self._set_faults, methods=['POST']),
+            ]
+        )
+
+    async def _order(self, req: requests.Request) -> responses.Response:
+        document = await req.json()
+        self._running += 1
+        try:
+            await asyncio.sleep(self._faults.delay_before_s)
+            self._executions[document['key']] += 1
+            number = sum(self._executions.values())
+            await asyncio.sleep(self._faults.delay_s)
+        finally:
+            self._running -= 1
+            self._completed += 1
+        if self._faults.fail_after:
+            raise ConnectionAbortedError('answer lost')
+        return responses.JSONResponse(
+            {'key': document['key'], 'order': number}, 201
+        )
+
+    async def _look_up(self, req: requests.Request) -> responses.Response:
+        key = req.path_params['key']
+        return responses.JSONResponse(
+            {'key': key, 'executions': self._executions[key]}
+        )
+
+    async def _get_executions(
+        self, req: requests.Request
+    ) -> responses.Response:
+        return responses.JSONResponse(dict(self._executions))
+
+    async def _load(self, req: requests.Request) -> responses.Response:
+        return responses.JSONResponse(
+            {
+                'generation': self._generation,
+                'running': self._running,
+                'completed': self._completed,
+                'uptime_s': time.monotonic() - self._started_at,
+            }
+        )
+
+    async def _set_faults(self, req: requests.Request) -> responses.Response:
+        self._faults = dataclasses.replace(self._faults, **(await req.json()))
+        return responses.JSONResponse(dataclasses.asdict(self._faults))
+
+
+if __name__ == '__main__':
+    args = serving.parser(__doc__).parse_args()
+    serving.run(lambda: PlainService().app(), args.port)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, grouped by cost: cover (fast), nocover (processes), scenarios."""
