--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 export PYTHONPATH := src:.
 export PYTHONHASHSEED := 0
 
-.PHONY: setup demo test lint format cover nocover thrift clean
+
+.PHONY: setup demo test prove lint format cover nocover thrift clean
 
 setup: $(VENV)/.ready
 
@@ -32,6 +33,10 @@
 nocover: setup
 	$(PY) -m pytest tests/nocover tests/scenarios
 
+# All proofs under failure, one line for each guarantee.
+prove: setup
+	$(PY) -m bench.prove
+
 # Needs the thrift compiler (a developer's tool); set-up and CI do not.
 thrift:
 	rm -rf build/thrift && mkdir -p build/thrift
--- a/tests/nocover/test_whole_path.py
+++ b/tests/nocover/test_whole_path.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
 
 from standins import caller, deployment, engine
@@ -10,15 +9,9 @@
 SMALL = deployment.Shape(data_centres=('dc-a',), engines=1, plain=1)
 
 
-def run(scenario, shape=SMALL):
-    async def go():
-        async with deployment.Deployment(shape) as cluster:
-            await scenario(cluster)
-
-    asyncio.run(go())
-
-
-def test_streamed_and_whole_completions_equal_what_the_engine_made():
+def test_streamed_and_whole_completions_equal_what_the_engine_made(
+    run_deployment,
+):
     """Guards against answers that are cut, reordered or changed."""
 
     async def scenario(cluster):
@@ -30,10 +23,12 @@
             assert answer.is_whole, answer
             assert answer.text == engine.expected_text(document)
 
-    run(scenario)
+    run_deployment(scenario, SMALL)
 
 
-def test_call_with_an_idempotency_key_runs_once_and_is_replayed():
+def test_call_with_an_idempotency_key_runs_once_and_is_replayed(
+    run_deployment,
+):
     """Guards against a second execution when a caller retries."""
 
     async def scenario(cluster):
@@ -47,4 +42,4 @@
         executions = await cluster.get(f'{plain.url}/executions')
         assert collections.Counter(executions) == {'buoy-1': 1}
 
-    run(scenario)
+    run_deployment(scenario, SMALL)
--- /dev/null
+++ b/tests/prove/__init__.py
@@ -0,0 +1,1 @@
+"""Long proofs under failure; run by `make prove` only."""
