Add routing policies, retry budget, deadlines and hedging

Cause: a call was tried on up to four targets without a bound on the retries of all calls together, and routing knew one policy that ignored calls sent since the last report.

The policies are power_of_two, round_robin, least_reported_load and prefix_affinity (rendezvous hashing with a load bound). Calls sent since a report count as load. Retries of calls that a target may have seen spend a budget of a tenth of the first attempts; a dispatch refused by the agent does not, since the target never saw it. A slow repeatable call is hedged if its service says so.

--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -1,21 +1,27 @@
-"""Handling of one call, from admission to the end of its answer."""
+"""Handling of one call, from the choice of a target to its answer."""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
+import random
 from collections.abc import Callable
 from typing import Protocol
 
 from ... import errors
+from ..retries import budget, hedging
 from ..routing import load_view, policy
 from ..table import queries
 from ..wire.gen import ttypes
 from . import attempts
 from . import call as call_module
 
-MAX_ATTEMPTS = 4
-NO_TARGET_PAUSE_S = 0.05
+DEFAULT_POLICY = 'prefix_affinity'
+MAX_REROUTES = 12
+"""Dispatches of one call that agents may refuse before it is given up."""
+
+FULL_PAUSE_S = 0.05
+"""Pause after all targets refused a call, before they are asked again."""
 
 
 class ClaimedCallHandler(Protocol):
@@ -39,12 +45,20 @@
         view: load_view.LoadView,
         table_view: Callable[[], queries.TableView | None],
         claimed: ClaimedCallHandler,
+        max_wait_s: float,
     ) -> None:
+        """Create a handler.
+
+        :param max_wait_s: how long a call may look for a target that is not
+            full.
+        """
         self._runner = runner
         self._view = view
         self._table_view = table_view
         self._claimed = claimed
+        self._max_wait_s = max_wait_s
         self._policies: dict[str, policy.RoutingPolicy] = {}
+        self._budgets: dict[str, budget.RetryBudget] = {}
 
     async def handle(
         self, call: call_module.Call, sink: call_module.AnswerSink
@@ -57,38 +71,19 @@
         if call.must_not_repeat:
             await self._claimed.handle(self, call, sink)
         else:
-            await self._handle_repeatable(call, sink)
-
-    async def _handle_repeatable(
-        self, call: call_module.Call, sink: call_module.AnswerSink
-    ) -> None:
-        tried: set[str] = set()
-        for number in itertools.count(1):
-            candidate = await self.choose(call, tried)
-            try:
-                await self._runner.run(
-                    self.attempt(call, candidate, number), sink
-                )
-                return
-            except attempts.AttemptFailed as exc:
-                tried.add(candidate.target)
-                if (
-                    exc.phase is attempts.Phase.ANSWERING
-                    or number >= MAX_ATTEMPTS
-                    or call.remaining_s() <= 0
-                ):
-                    raise exc.refusal from exc
+            await _RepeatableCall(self, call).run(sink)
 
     async def choose(
         self, call: call_module.Call, tried: set[str]
     ) -> policy.Candidate:
         """Return the target for the next attempt.
 
-        :raises Refusal: NO_TARGET or OVERLOADED.
+        :raises Refusal: NO_TARGET if none is in service, OVERLOADED if all
+            were tried.
         """
         candidates = self.candidates(call)
-        fresh = [item for item in candidates if item.target not in tried]
-        if not fresh:
+        untried = [item for item in candidates if item.target not in tried]
+        if not untried:
             kind = (
                 errors.ErrorKind.OVERLOADED
                 if candidates
@@ -99,15 +94,14 @@
                 f'no target of {call.service_name} can take the call now',
                 retry_after_s=1.0,
             )
-        open_ones = [item for item in fresh if item.load < 1] or fresh
-        await asyncio.sleep(0)
-        return self._policy(call).choose(open_ones, call.prefix)
+        with_room = [item for item in untried if item.load < 1]
+        return self._policy(call).choose(with_room or untried, call.prefix)
 
     def candidates(self, call: call_module.Call) -> list[policy.Candidate]:
         """Return the targets that may take the call, by what is known."""
         table = self._table_view()
         return [
-            self._candidate(report)
+            candidate
             for report in self._view.fresh_reports()
             if report.load.service_name == call.service_name
             and report.load.state == ttypes.TargetState.IN_SERVICE
@@ -115,6 +109,7 @@
             and not table.is_withdrawn(
                 report.agent.data_centre, report.load.target
             )
+            and (candidate := self._candidate(call, report, table)).weight > 0
         ]
 
     def attempt(
@@ -135,23 +130,123 @@
             claim,
         )
 
-    def _candidate(self, report: load_view.Report) -> policy.Candidate:
+    async def run_attempt(
+        self, attempt: attempts.Attempt, sink: call_module.AnswerSink
+    ) -> None:
+        """Run one attempt; see :meth:`attempts.AttemptRunner.run`."""
+        await self._runner.run(attempt, sink)
+
+    def retry_budget(self, service_name: str) -> budget.RetryBudget:
+        """Return the retry budget of a service at this entry."""
+        if service_name not in self._budgets:
+            self._budgets[service_name] = budget.RetryBudget()
+        return self._budgets[service_name]
+
+    @property
+    def max_wait_s(self) -> float:
+        """Return how long a call may look for a target that is not full."""
+        return self._max_wait_s
+
+    def _candidate(
+        self,
+        call: call_module.Call,
+        report: load_view.Report,
+        table: queries.TableView,
+    ) -> policy.Candidate:
         load = report.load
+        data_centre = report.agent.data_centre
+        weights = call.service.data_centre_weights
+        data_centre_weight = weights.get(
+            data_centre, table.data_centre(data_centre).weight
+        )
         return policy.Candidate(
             target=load.target,
             address=report.agent.address,
-            data_centre=report.agent.data_centre,
+            data_centre=data_centre,
             outstanding=self._view.outstanding(load.target),
             reported_running=load.running,
             reported_queued=load.queued,
+            sent_since_report=self._view.sent_since(report),
             cap=load.cap,
-            report_age_s=self._view.age_s(report) + load.report_age_ms / 1000,
+            weight=data_centre_weight * table.target(load.target).weight,
         )
 
     def _policy(self, call: call_module.Call) -> policy.RoutingPolicy:
         name = call.service.routing
         if name not in policy.POLICIES:
-            name = 'power_of_two'
+            # The table may name a policy of a newer release.
+            name = DEFAULT_POLICY
         if name not in self._policies:
             self._policies[name] = policy.POLICIES[name]()
         return self._policies[name]
+
+
+class _RepeatableCall:
+    """Attempts of one call that may be repeated."""
+
+    def __init__(self, handler: CallHandler, call: call_module.Call) -> None:
+        self._handler = handler
+        self._call = call
+        self._budget = handler.retry_budget(call.service_name)
+        self._numbers = itertools.count(1)
+        self._tried: set[str] = set()
+        loop = asyncio.get_running_loop()
+        self._wait_until_s = loop.time() + min(
+            handler.max_wait_s, call.remaining_s()
+        )
+
+    async def run(self, sink: call_module.AnswerSink) -> None:
+        """Answer the call; raises Refusal."""
+        self._budget.first_attempt()
+        delay_s = self._call.service.hedge_after_ms / 1000
+        if delay_s <= 0:
+            await self._attempts(sink)
+            return
+        await hedging.run(
+            sink,
+            self._attempts,
+            self._attempts,
+            delay_s,
+            self._budget.try_spend,
+        )
+
+    async def _attempts(self, sink: call_module.AnswerSink) -> None:
+        reroutes = 0
+        while True:
+            candidate = await self._choose()
+            self._tried.add(candidate.target)
+            number = next(self._numbers)
+            attempt = self._handler.attempt(self._call, candidate, number)
+            try:
+                await self._handler.run_attempt(attempt, sink)
+                return
+            except attempts.AttemptFailed as exc:
+                if exc.phase is attempts.Phase.REFUSED:
+                    reroutes += 1
+                if not self._may_go_on(exc, reroutes):
+                    raise exc.refusal from exc
+
+    def _may_go_on(self, exc: attempts.AttemptFailed, reroutes: int) -> bool:
+        if exc.phase is attempts.Phase.ANSWERING:
+            return False
+        if self._call.remaining_s() <= 0:
+            return False
+        if exc.phase is attempts.Phase.REFUSED:
+            # The target never saw the call, so this is no load on it.
+            return reroutes < MAX_REROUTES
+        return self._budget.try_spend()
+
+    async def _choose(self) -> policy.Candidate:
+        """Return the next target; wait a little while all are full."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                return await self._handler.choose(self._call, self._tried)
+            except errors.Refusal as exc:
+                if (
+                    exc.kind is not errors.ErrorKind.OVERLOADED
+                    or loop.time() >= self._wait_until_s
+                ):
+                    raise
+                self._tried.clear()
+                await asyncio.sleep(FULL_PAUSE_S * random.uniform(0.5, 1.5))
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -12,7 +12,13 @@
 from ..distribution import document, source, sync
 from ..membership import hosts
 from ..platform import http_store
-from ..routing import load_view, power_of_two
+from ..routing import (
+    least_reported,
+    load_view,
+    power_of_two,
+    prefix_affinity,
+    round_robin,
+)
 from ..settings import schema
 from ..streams import incoming
 from ..table import model, queries
@@ -24,7 +30,7 @@
 """How long a starting entry waits for a target of each service."""
 
 # The policies register themselves when imported.
-_POLICIES = (power_of_two,)
+_POLICIES = (least_reported, power_of_two, prefix_affinity, round_robin)
 
 
 class Entry:
@@ -73,7 +79,11 @@
             self._load_view,
         )
         handler = calls.CallHandler(
-            runner, self._load_view, lambda: self._view, claimed
+            runner,
+            self._load_view,
+            lambda: self._view,
+            claimed,
+            cfg.request_limits.max_wait_s,
         )
         self._app = app.CallerApp(
             cfg, handler, admission.OpenAdmission(), lambda: self._view
--- a/src/wagtailhollow/internal/routing/load_view.py
+++ b/src/wagtailhollow/internal/routing/load_view.py
@@ -15,12 +15,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
-    """The last load report of one target, with where its agent is."""
+    """The last load report of one target, with where its agent is.
+
+    :ivar outstanding: calls of this entry that ran there when it arrived.
+    """
 
     load: ttypes.TargetLoad
     agent: auth.Identity
     received_at_s: float
     draining: bool
+    outstanding: int
 
 
 class LoadView:
@@ -36,7 +40,11 @@
     ) -> None:
         """Store a report that arrived now."""
         self._reports[load.target] = Report(
-            load, agent, self._clock(), draining
+            load,
+            agent,
+            self._clock(),
+            draining,
+            self._outstanding[load.target],
         )
 
     def forget(self, node: str) -> None:
@@ -59,6 +67,10 @@
         """Return this entry's calls that run at *target*."""
         return self._outstanding[target]
 
+    def sent_since(self, report: Report) -> int:
+        """Return calls started at the target since *report*, less ended."""
+        return self._outstanding[report.load.target] - report.outstanding
+
     def report(self, target: str) -> Report | None:
         """Return the usable report of *target*, or None."""
         report = self._reports.get(target)
@@ -72,9 +84,6 @@
             if self._is_fresh(report)
         ]
 
-    def age_s(self, report: Report) -> float:
-        """Return the age of *report* in seconds."""
-        return self._clock() - report.received_at_s
-
     def _is_fresh(self, report: Report) -> bool:
-        return self.age_s(report) <= MAX_REPORT_AGE_S
+        age_s = self._clock() - report.received_at_s
+        return age_s + report.load.report_age_ms / 1000 <= MAX_REPORT_AGE_S
--- a/src/wagtailhollow/internal/routing/policy.py
+++ b/src/wagtailhollow/internal/routing/policy.py
@@ -19,9 +19,10 @@
     :ivar outstanding: calls of this entry that run there now.
     :ivar reported_running: calls running there by the last report.
     :ivar reported_queued: calls queued there by the last report.
+    :ivar sent_since_report: calls of this entry started there since the
+        report, less those that ended.
     :ivar cap: concurrency cap by the last report.
-    :ivar report_age_s: age of that report.
-    :ivar weight: weight from the table.
+    :ivar weight: weight from the table, that of its data centre included.
     """
 
     target: str
@@ -30,21 +31,27 @@
     outstanding: int
     reported_running: int
     reported_queued: int
+    sent_since_report: int
     cap: int
-    report_age_s: float
     weight: float = 1.0
 
     @property
     def load(self) -> float:
         """Return the estimated share of the cap in use.
 
-        A report includes calls of this entry that were running when it was
-        made; the larger of both counts is taken, so that calls sent since the
-        report count at once.
+        Calls sent since the report count at once, so that an entry does not
+        send everything to a target until its next report.
         """
-        running = max(self.outstanding, self.reported_running)
+        running = max(
+            self.outstanding, self.reported_running + self.sent_since_report
+        )
         return (running + self.reported_queued) / max(self.cap, 1)
 
+    @property
+    def capacity(self) -> float:
+        """Return the cap times the weight."""
+        return self.weight * max(self.cap, 1)
+
 
 class RoutingPolicy(Protocol):
     """Chooses one of several candidates; an instance may keep state."""
--- a/src/wagtailhollow/internal/routing/power_of_two.py
+++ b/src/wagtailhollow/internal/routing/power_of_two.py
@@ -10,7 +10,11 @@
 
 @policy.routing_policy('power_of_two')
 class PowerOfTwo:
-    """Avoids herding on the target whose lagging report is lowest."""
+    """Avoids that all entries choose the one target that looked idle.
+
+    Candidates are drawn by weight times cap, so that larger targets are
+    compared more often.
+    """
 
     def __init__(self, rng: random.Random | None = None) -> None:
         self._rng = rng or random.Random()
@@ -21,6 +25,6 @@
         """Return the less loaded of two candidates drawn by weight."""
         if len(candidates) == 1:
             return candidates[0]
-        weights = [candidate.weight for candidate in candidates]
+        weights = [max(item.capacity, 1e-9) for item in candidates]
         drawn = self._rng.choices(candidates, weights=weights, k=2)
-        return min(drawn, key=lambda candidate: candidate.load)
+        return min(drawn, key=lambda item: item.load)
--- /dev/null
+++ b/tests/cover/test_routing.py
@@ -0,0 +1,80 @@
+"""Routing policies and the load view."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import pytest
+
+from wagtailhollow.internal.routing import (
+    least_reported,
+    load_view,
+    policy,
+    power_of_two,
+    prefix_affinity,
+    round_robin,
+)
+from wagtailhollow.internal.wire import auth
+from wagtailhollow.internal.wire.gen import ttypes
+
+ALL = (least_reported, power_of_two, prefix_affinity, round_robin)
+
+
+def candidate(name, running=0, cap=10, sent=0, weight=1.0):
+    return policy.Candidate(
+        name, '', 'dc', sent, running, 0, sent, cap, weight
+    )
+
+
+@pytest.mark.parametrize('name', sorted(policy.POLICIES))
+def test_policy_chooses_the_only_candidate(name):
+    """Guards against a policy that fails when one target is left."""
+    only = candidate('a', running=10)
+    assert policy.POLICIES[name]().choose([only], 'prefix') is only
+
+
+def test_prefix_goes_to_the_same_target_while_it_is_not_busy():
+    """Guards against prefixes spread over all caches."""
+    chooser = prefix_affinity.PrefixAffinity(random.Random(1))
+    targets = [candidate(f't{index}', running=2) for index in range(8)]
+    chosen = {chooser.choose(targets, 'p').target for _ in range(50)}
+    assert len(chosen) == 1
+
+
+def test_prefix_leaves_a_target_that_is_over_the_load_bound():
+    """Guards against one hot prefix overrunning its target."""
+    chooser = prefix_affinity.PrefixAffinity(random.Random(1))
+    targets = [candidate(f't{index}', running=2) for index in range(8)]
+    preferred = chooser.choose(targets, 'p').target
+    busy = [
+        candidate(item.target, running=9 if item.target == preferred else 2)
+        for item in targets
+    ]
+    chosen = {chooser.choose(busy, 'p').target for _ in range(50)}
+    assert preferred not in chosen
+
+
+def test_calls_sent_since_the_report_count_as_load():
+    """Guards against herding on a target until its next report."""
+    idle_by_report = candidate('a', running=0, sent=9)
+    busy_by_report = candidate('b', running=5)
+    chooser = power_of_two.PowerOfTwo(random.Random(3))
+    chosen = collections.Counter(
+        chooser.choose([idle_by_report, busy_by_report], '').target
+        for _ in range(400)
+    )
+    assert chosen['b'] > 2 * chosen['a']
+
+
+def test_report_older_than_the_bound_is_not_used():
+    """Guards against routing to a target that has fallen silent."""
+    now = [0.0]
+    view = load_view.LoadView(clock=lambda: now[0])
+    agent = auth.Identity('a', 2, 'dc', 'd', 1, '')
+    load = ttypes.TargetLoad('t', 's', 2, 0, 0, 4, 1, 0, 0, 0.0, [], 4)
+    view.take(agent, load, False)
+    now[0] = load_view.MAX_REPORT_AGE_S
+    assert view.fresh_reports()
+    now[0] += 0.1
+    assert not view.fresh_reports()
