Count calls since a report was made, for all entries that share a target

Cause: with reports 0.5 s old the 95th percentile of the first-token time was 2.5 s for power_of_two and 2.4 s for prefix_affinity at 75% load. The load view counted own calls since the report arrived, not since it was made, and left out the calls of the other entries.

--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -44,7 +44,8 @@
         self._hosts = document.VersionedDocument(hosts.HOSTS_DOCUMENT)
         self._hosts.on_change(self._hosts_changed)
         self._view: queries.TableView | None = None
-        self._load_view = load_view.LoadView()
+        self._entry_count = 1
+        self._load_view = load_view.LoadView(sharing=lambda: self._entry_count)
         self._handlers = connection.Handlers()
         self._handlers.on_notice(ttypes.Heartbeat)(self._heard)
         self._handlers.closed.append(self._connection_closed)
@@ -167,6 +168,9 @@
 
     def _hosts_changed(self, change: document.Change) -> None:
         rows = hosts.from_rows(self._hosts.rows)
+        self._entry_count = sum(
+            row.role == 'entry' and row.state == 'live' for row in rows
+        )
         self._peers.want(row.address for row in rows if row.role == 'agent')
 
     def _heard(
--- a/src/wagtailhollow/internal/routing/load_view.py
+++ b/src/wagtailhollow/internal/routing/load_view.py
@@ -1,10 +1,19 @@
-"""What an entry knows of the load of its targets."""
+"""What an entry knows of the load of its targets.
+
+A report shows the calls of all entries, but late. What this entry sent since
+then is known exactly; the other entries get their calls from the same
+balancer and use the same policy, so they are taken to have sent as much each.
+Without that factor the first-token time under reports 0.5 s old was four
+times as long, see docs/measurements.md.
+"""
 
 from __future__ import annotations
 
+import bisect
 import collections
 import dataclasses
 import time
+from collections.abc import Callable
 
 from ..wire import auth
 from ..wire.gen import ttypes
@@ -17,34 +26,44 @@
 class Report:
     """The last load report of one target, with where its agent is.
 
-    :ivar outstanding: calls of this entry that ran there when it arrived.
+    :ivar made_at_s: when the report was made, by this entry's clock.
     """
 
     load: ttypes.TargetLoad
     agent: auth.Identity
-    received_at_s: float
+    made_at_s: float
     draining: bool
-    outstanding: int
 
 
 class LoadView:
     """Last reports by target, and this entry's own outstanding calls."""
 
-    def __init__(self, clock=time.monotonic) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = time.monotonic,
+        sharing: Callable[[], int] = lambda: 1,
+    ) -> None:
+        """Create a view.
+
+        :param sharing: returns how many entries send calls to one target.
+        """
         self._clock = clock
+        self._sharing = sharing
         self._reports: dict[str, Report] = {}
-        self._outstanding: collections.Counter[str] = collections.Counter()
+        self._outstanding: dict[str, _History] = collections.defaultdict(
+            _History
+        )
 
     def take(
-        self, agent: auth.Identity, load: ttypes.TargetLoad, draining: bool
+        self,
+        agent: auth.Identity,
+        load: ttypes.TargetLoad,
+        draining: bool,
+        age_s: float = 0.0,
     ) -> None:
-        """Store a report that arrived now."""
+        """Store a report that arrived now and was made *age_s* ago."""
         self._reports[load.target] = Report(
-            load,
-            agent,
-            self._clock(),
-            draining,
-            self._outstanding[load.target],
+            load, agent, self._clock() - age_s, draining
         )
 
     def forget(self, node: str) -> None:
@@ -57,19 +76,24 @@
 
     def started(self, target: str) -> None:
         """Count a call as outstanding at *target*."""
-        self._outstanding[target] += 1
+        self._outstanding[target].add(self._clock(), 1)
 
     def finished(self, target: str) -> None:
         """End the count of one outstanding call at *target*."""
-        self._outstanding[target] -= 1
+        self._outstanding[target].add(self._clock(), -1)
 
     def outstanding(self, target: str) -> int:
         """Return this entry's calls that run at *target*."""
-        return self._outstanding[target]
+        return self._outstanding[target].count
 
     def sent_since(self, report: Report) -> int:
-        """Return calls started at the target since *report*, less ended."""
-        return self._outstanding[report.load.target] - report.outstanding
+        """Return calls started at the target since *report*, less ended.
+
+        Estimated for all entries that share the target.
+        """
+        history = self._outstanding[report.load.target]
+        own = history.count - history.count_at(report.made_at_s)
+        return own * max(1, self._sharing())
 
     def report(self, target: str) -> Report | None:
         """Return the usable report of *target*, or None."""
@@ -85,5 +109,29 @@
         ]
 
     def _is_fresh(self, report: Report) -> bool:
-        age_s = self._clock() - report.received_at_s
+        age_s = self._clock() - report.made_at_s
         return age_s + report.load.report_age_ms / 1000 <= MAX_REPORT_AGE_S
+
+
+class _History:
+    """Number of outstanding calls over the last seconds."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._times_s: list[float] = []
+        self._counts: list[int] = []
+
+    def add(self, now_s: float, change: int) -> None:
+        self.count += change
+        self._times_s.append(now_s)
+        self._counts.append(self.count)
+        # Trimmed in steps: removing the head of a list moves the rest.
+        if len(self._times_s) > 64:
+            keep = bisect.bisect_left(self._times_s, now_s - MAX_REPORT_AGE_S)
+            keep = max(0, keep - 1)
+            if keep > len(self._times_s) // 2:
+                del self._times_s[:keep], self._counts[:keep]
+
+    def count_at(self, at_s: float) -> int:
+        index = bisect.bisect_right(self._times_s, at_s) - 1
+        return self._counts[index] if index >= 0 else 0
--- a/src/wagtailhollow/internal/routing/policy.py
+++ b/src/wagtailhollow/internal/routing/policy.py
@@ -19,8 +19,8 @@
     :ivar outstanding: calls of this entry that run there now.
     :ivar reported_running: calls running there by the last report.
     :ivar reported_queued: calls queued there by the last report.
-    :ivar sent_since_report: calls of this entry started there since the
-        report, less those that ended.
+    :ivar sent_since_report: estimate of the calls of all entries started
+        there since the report, less those that ended.
     :ivar cap: concurrency cap by the last report.
     :ivar weight: weight from the table, that of its data centre included.
     """
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -78,3 +78,19 @@
     assert view.fresh_reports()
     now[0] += 0.1
     assert not view.fresh_reports()
+
+
+def test_calls_since_a_late_report_are_counted_from_when_it_was_made():
+    """Guards against calls that neither the report nor the view counts."""
+    now = [10.0]
+    view = load_view.LoadView(clock=lambda: now[0], sharing=lambda: 3)
+    agent = auth.Identity('a', 2, 'dc', 'd', 1, '')
+    load = ttypes.TargetLoad('t', 's', 2, 0, 0, 4, 1, 0, 0, 0.0, [], 4)
+    view.started('t')
+    now[0] = 11.0
+    view.started('t')
+    now[0] = 11.2
+    view.take(agent, load, False, age_s=0.5)
+    assert view.sent_since(view.report('t')) == 3
+    view.finished('t')
+    assert view.sent_since(view.report('t')) == 0
