--- /dev/null
+++ b/measure/load.py
@@ -0,0 +1,204 @@
+"""Open-loop load on a deployment: recorded arrivals, whatever the answers.
+
+Calls start at their recorded times even if earlier ones are still running, so
+that a slow system is not spared load. Every streamed answer is compared with
+what the engine produces for the request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import random
+import statistics
+import time
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+from standins import caller, deployment, engine
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """A recorded load.
+
+    :ivar rate: calls a second.
+    :ivar order_share: share of calls that must not be repeated.
+    :ivar tokens: tokens of a completion, smallest and largest.
+    """
+
+    seed: int
+    seconds: float
+    rate: float
+    order_share: float = 0.1
+    tokens: tuple[int, int] = (10, 60)
+    organisations: Sequence[str] = ('council', 'insurer')
+
+
+@dataclasses.dataclass(frozen=True)
+class Sample:
+    """One finished call.
+
+    :ivar at_s: when it was sent, from the start of the load.
+    :ivar is_truncated: the answer differs from the engine's, or ends early
+        without an error.
+    """
+
+    at_s: float
+    kind: str
+    entry: str
+    answer: caller.Answer
+    is_truncated: bool
+    order_key: str = ''
+
+
+async def play(cluster: deployment.Deployment, plan: Plan) -> list[Sample]:
+    """Send the load to the live entries and return all samples."""
+    rng = random.Random(plan.seed)
+    entries = cluster.named('entry-')
+    callers = {
+        name: caller.Caller(cluster.http, name) for name in plan.organisations
+    }
+    start_s = time.monotonic()
+    tasks = []
+    at_s = rng.expovariate(plan.rate)
+    while at_s < plan.seconds:
+        await asyncio.sleep(max(0.0, start_s + at_s - time.monotonic()))
+        client = callers[rng.choice(plan.organisations)]
+        url = rng.choice(entries).url
+        name = f'{plan.seed}-{len(tasks)}'
+        if rng.random() < plan.order_share:
+            work = _order(client, url, name, at_s)
+        else:
+            document = caller.chat_request(
+                f'post {rng.randrange(20)}', rng.randint(*plan.tokens)
+            )
+            work = _chat(client, url, document, at_s)
+        tasks.append(asyncio.create_task(work))
+        at_s += rng.expovariate(plan.rate)
+    return list(await asyncio.gather(*tasks))
+
+
+async def _chat(
+    client: caller.Caller, url: str, document: dict, at_s: float
+) -> Sample:
+    answer = await client.chat(url, document)
+    is_right = answer.text == engine.expected_text(document)
+    is_truncated = (
+        answer.status == 200
+        and not answer.error
+        and not (answer.is_whole and is_right)
+    )
+    return Sample(at_s, 'chat', url, answer, is_truncated)
+
+
+async def _order(
+    client: caller.Caller, url: str, key: str, at_s: float
+) -> Sample:
+    answer = await client.order(url, key, key)
+    return Sample(at_s, 'order', url, answer, False, key)
+
+
+@dataclasses.dataclass(frozen=True)
+class Summary:
+    """Figures of the calls of one phase; times in seconds."""
+
+    calls: int
+    answered: int
+    refused: int
+    errors: Mapping[str, int]
+    truncated: int
+    first_p50: float
+    first_p95: float
+    gap_p95: float
+    within_target: float
+
+    def line(self) -> str:
+        """Return one line of a table."""
+        kinds = ', '.join(f'{k} {n}' for k, n in self.errors.items()) or '-'
+        return (
+            f'{self.calls:6} {self.answered:9} {self.refused:8} '
+            f'{self.truncated:10} {self.first_p50 * 1000:9.1f} '
+            f'{self.first_p95 * 1000:9.1f} {self.gap_p95 * 1000:9.1f} '
+            f'{self.within_target:8.3f}  {kinds}'
+        )
+
+
+HEADINGS = (
+    f'{"calls":>6} {"answered":>9} {"refused":>8} {"truncated":>10} '
+    f'{"first50ms":>9} {"first95ms":>9} {"gap95ms":>9} {"in slo":>8}  errors'
+)
+FIRST_TOKEN_TARGET_S = 1.5
+BETWEEN_TOKENS_TARGET_S = 0.033
+
+
+def summarise(samples: Iterable[Sample]) -> Summary:
+    """Return the figures of *samples*."""
+    samples = list(samples)
+    answered = [item for item in samples if item.answer.is_whole]
+    chats = [item.answer for item in answered if item.kind == 'chat']
+    refused = [item for item in samples if item.answer.execution == 'not_run']
+    failures = collections.Counter(
+        item.answer.error
+        for item in samples
+        if item.answer.error and item.answer.execution != 'not_run'
+    )
+    firsts = [item.first_s for item in chats] or [0.0]
+    gaps = [statistics.fmean(item.gaps_s) for item in chats if item.gaps_s]
+    within = [
+        item.first_s <= FIRST_TOKEN_TARGET_S
+        and (
+            not item.gaps_s
+            or statistics.fmean(item.gaps_s) <= BETWEEN_TOKENS_TARGET_S
+        )
+        for item in chats
+    ]
+    return Summary(
+        calls=len(samples),
+        answered=len(answered),
+        refused=len(refused),
+        errors=failures,
+        truncated=sum(item.is_truncated for item in samples),
+        first_p50=percentile(firsts, 50),
+        first_p95=percentile(firsts, 95),
+        gap_p95=percentile(gaps or [0.0], 95),
+        within_target=statistics.fmean(within) if within else 1.0,
+    )
+
+
+def percentile(values: Sequence[float], percent: int) -> float:
+    """Return a percentile; of a single value, the value."""
+    if len(values) < 2:
+        return values[0]
+    return statistics.quantiles(values, n=100, method='inclusive')[percent - 1]
+
+
+def phases(
+    samples: Iterable[Sample], limits: Mapping[str, tuple[float, float]]
+) -> dict[str, list[Sample]]:
+    """Return the samples of each phase, by the time they were sent."""
+    samples = list(samples)
+    return {
+        name: [item for item in samples if low <= item.at_s < high]
+        for name, (low, high) in limits.items()
+    }
+
+
+async def executions(cluster: deployment.Deployment) -> collections.Counter:
+    """Return how often each order was executed, over all instances."""
+    counts: collections.Counter[str] = collections.Counter()
+    for process in cluster.named('plain-'):
+        counts.update(await cluster.get(f'{process.url}/executions'))
+    return counts
+
+
+async def started(
+    cluster: deployment.Deployment, choose: Callable[[str], bool]
+) -> int:
+    """Return the calls that the engines with a chosen name have started."""
+    loads = [
+        await cluster.get(f'{process.url}/load')
+        for process in cluster.named('engine-')
+        if choose(process.name)
+    ]
+    return sum(load['started'] for load in loads)
