--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONHASHSEED := 0
 
 
-.PHONY: setup demo test prove lint format cover nocover thrift clean
+.PHONY: setup demo test prove bench measure lint format cover nocover thrift clean
 
 setup: $(VENV)/.ready
 
@@ -37,6 +37,14 @@
 prove: setup
 	$(PY) -m bench.prove
 
+# Cost of the two hops and of control, against the engine called directly.
+bench: setup
+	$(PY) -m bench.overhead
+
+# All policies on the same recorded loads.
+measure: setup
+	$(PY) -m measure.all
+
 # Needs the thrift compiler (a developer's tool); set-up and CI do not.
 thrift:
 	rm -rf build/thrift && mkdir -p build/thrift
