Relay the table through two entries of each data centre

Cause: every entry watched the platform, agents learnt of the table only through heartbeats of whoever connected first, and a starting node took the first version that it met. Now two entries chosen by rendezvous hashing watch and push; an entry that hears from no relay for 3 s polls; a starting node waits for the platform's table or the newest of several peers; direct withdrawals are kept until a newer table names the row. rendezvous.score passed text to xxhash, which takes bytes only, and the failure of the task went unseen: background tasks now log their failure. Ruled out: slices of a sorted list as agent subset; each lost entry would shift the agents of all the others.

--- a/src/wagtailhollow/internal/agent/compose.py
+++ b/src/wagtailhollow/internal/agent/compose.py
@@ -9,7 +9,8 @@
 
 from ... import errors
 from ..daemon import http, lifecycle
-from ..distribution import document, sync
+from ..distribution import document, overrides, start, sync
+from ..operators import served
 from ..platform import http_store
 from ..settings import schema
 from ..table import model, queries
@@ -35,7 +36,18 @@
         self._table = document.VersionedDocument(model.TABLE_DOCUMENT)
         self._table.on_change(self._table_changed)
         self._view: queries.TableView | None = None
+        self._direct = overrides.DirectWithdrawals(self._table, self._publish)
+        self._table_start = start.TableStart(
+            self._store, self._table, self._publish
+        )
         self._handlers = connection.Handlers()
+        self._operators = served.OperatorService(
+            self._handlers,
+            (self._table,),
+            self._direct,
+            self._status,
+            tuple,
+        )
         self._sync = sync.DocumentSync(
             {self._table.name: self._table}, self._handlers
         )
@@ -85,8 +97,9 @@
         await self._peers.start(host, int(port))
         await self._http.start()
         self._tasks = [
-            asyncio.create_task(self._watcher.run()),
-            asyncio.create_task(self._expire()),
+            lifecycle.background(self._table_start.run()),
+            lifecycle.background(self._watcher.run()),
+            lifecycle.background(self._expire()),
         ]
 
     async def drain(self) -> None:
@@ -116,20 +129,46 @@
         return f'the target is {state.name.lower()}'
 
     def _table_changed(self, change: document.Change) -> None:
-        self._view = queries.TableView(
-            model.Table(self._table.version, self._table.rows)
-        )
+        self._direct.table_changed(change)
+        self._publish()
+
+    def _publish(self) -> None:
+        if not self._table_start.is_confirmed:
+            return
+        rows = self._direct.overlay(self._table.rows)
+        self._view = queries.TableView(model.Table(self._table.version, rows))
         row = self._view.target(self._cfg.target)
         self._ramp.set_limit(row.max_concurrent)
 
+    def _status(self) -> dict[str, object]:
+        load = self._load()
+        reason = self._not_ready_reason()
+        return {
+            'role': 'agent',
+            'ready': reason is None,
+            'not_ready_reason': reason or '',
+            'target': self._cfg.target,
+            'service': self._cfg.service,
+            'group': self._cfg.group or '',
+            'state': ttypes.TargetState(load.state).name.lower(),
+            'running': load.running,
+            'queued': load.queued,
+            'cap': load.cap,
+            'cap_limit': load.cap_limit,
+        }
+
     def _heard(
         self, conn: connection.PeerConnection, message: ttypes.Heartbeat
     ) -> None:
         self._sync.notice_versions(conn, message.documents)
+        self._table_start.heard(conn.peer.node, message.documents)
 
     async def _catch_up(
         self, conn: connection.PeerConnection, version: int
     ) -> None:
+        if version < self._table.version:
+            # The entry fetches when it sees the newer version.
+            conn.post(self._heartbeat(conn))
         if version <= self._table.version:
             return
         try:
--- a/src/wagtailhollow/internal/daemon/lifecycle.py
+++ b/src/wagtailhollow/internal/daemon/lifecycle.py
@@ -5,7 +5,8 @@
 import asyncio
 import secrets
 import signal
-from typing import Protocol
+from collections.abc import Coroutine
+from typing import Any, Protocol
 
 from absl import logging
 
@@ -59,3 +60,19 @@
 def new_incarnation() -> int:
     """Return a number that differs for each start of a process."""
     return secrets.randbits(62)
+
+
+def background(coro: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+    """Run *coro* as a task whose failure is logged.
+
+    A task that nobody awaits fails without a trace otherwise.
+    """
+    task = asyncio.create_task(coro)
+    task.add_done_callback(_log_failure)
+    return task
+
+
+def _log_failure(task: asyncio.Task[None]) -> None:
+    exc = None if task.cancelled() else task.exception()
+    if exc is not None:
+        logging.error('%r failed', task.get_coro(), exc_info=exc)
--- a/src/wagtailhollow/internal/distribution/source.py
+++ b/src/wagtailhollow/internal/distribution/source.py
@@ -5,71 +5,139 @@
 import asyncio
 import random
 import time
+from collections.abc import Mapping
+from typing import Any
 
 from absl import logging
 
-from ..membership import hosts
+from ..membership import hosts, relays
 from ..observability import metrics
 from ..platform import api
 from ..table import model
 from . import document
 
-WATCH_TIMEOUT_S = 20.0
+WATCH_TIMEOUT_S = 2.0
+"""A watch that has gone silent is noticed after this and the call's timeout.
+
+With 24 relays a watch renewed every 2 s costs the platform 12 calls a second.
+"""
+
+WATCH_GRACE_S = 0.5
 HOSTS_POLL_PERIOD_S = 1.0
+POLL_PERIOD_S = 1.0
+IDLE_PERIOD_S = 0.2
 RETRY_MIN_S = 0.2
-RETRY_MAX_S = 3.0
+RETRY_MAX_S = 1.0
 
 
 class PlatformSource:
-    """Two tasks: a watch on the table and a poll of the host list."""
+    """Two tasks: one for the table, one for the host list.
+
+    A relay watches. Another entry only reads when it has heard from no relay
+    for :data:`relays.SILENCE_LIMIT_S`, and with ``If-None-Match``.
+    """
 
     def __init__(
         self,
         store: api.ObjectStore,
         table: document.VersionedDocument,
         host_list: document.VersionedDocument,
+        duty: relays.RelayDuty,
     ) -> None:
         self._store = store
         self._table = table
         self._hosts = host_list
+        self._duty = duty
+        self._answered_at_s: float | None = None
+
+    def is_current(self) -> bool:
+        """Return whether the platform answered within the silence limit."""
+        return (
+            self._answered_at_s is not None
+            and time.monotonic() - self._answered_at_s < relays.SILENCE_LIMIT_S
+        )
 
     async def follow_table(self) -> None:
-        """Watch the table for ever."""
+        """Watch or poll the table for ever."""
         delay_s = RETRY_MIN_S
         while True:
             try:
-                await self._watch_once()
+                await self._step()
                 delay_s = RETRY_MIN_S
             except api.PlatformUnavailable as exc:
-                logging.warning('table watch failed: %s', exc)
+                logging.warning('table unavailable: %s', exc)
                 await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
                 delay_s = min(delay_s * 2, RETRY_MAX_S)
 
     async def follow_hosts(self) -> None:
-        """Poll the host list for ever."""
+        """Poll the host list for ever, while this entry has to."""
         while True:
-            try:
-                found = await self._store.hosts(self._hosts.version)
-                if found is not None:
-                    self._hosts.replace(
-                        found.revision, hosts.to_rows(found.hosts)
-                    )
-            except api.PlatformUnavailable as exc:
-                logging.warning('host list unavailable: %s', exc)
+            if self._must_read() or not self._hosts.version:
+                try:
+                    await self._read_hosts()
+                except api.PlatformUnavailable as exc:
+                    logging.warning('host list unavailable: %s', exc)
             await asyncio.sleep(HOSTS_POLL_PERIOD_S)
 
+    def _must_read(self) -> bool:
+        return self._duty.is_relay() or not self._duty.hears_a_relay()
+
+    async def _step(self) -> None:
+        if self._table.version and self._duty.is_relay():
+            await self._watch_once()
+        elif self._table.version and self._duty.hears_a_relay():
+            await asyncio.sleep(IDLE_PERIOD_S)
+        else:
+            await self._poll_once()
+            # Jitter spreads the reads of entries that lost the same relays.
+            await asyncio.sleep(POLL_PERIOD_S * random.uniform(0.5, 1.0))
+
     async def _watch_once(self) -> None:
-        found = await self._store.watch(
-            model.TABLE_KEY, self._table.version, WATCH_TIMEOUT_S
-        )
-        self._checked()
-        if found is not None and self._table.replace(
-            found.version, found.value['rows']
-        ):
-            metrics.document_version.labels(self._table.name).set(
-                found.version
-            )
-            logging.info('table version %d in force', found.version)
-
-    def _checked(self) -> None:
+        try:
+            async with asyncio.timeout(WATCH_TIMEOUT_S + WATCH_GRACE_S):
+                found = await self._store.watch(
+                    model.TABLE_KEY, self._table.version, WATCH_TIMEOUT_S
+                )
+        except TimeoutError:
+            # The watch may have been lost on the way; a read tells.
+            await self._poll_once()
+            return
+        self._answered()
+        if found is None:
+            # A watch that always times out could have stopped working.
+            await self._poll_once()
+        else:
+            take_table(self._table, found.version, found.value)
+
+    async def _poll_once(self) -> None:
+        found = await self._store.get(model.TABLE_KEY, self._table.version)
+        self._answered()
+        if found is not None and found.value is not None:
+            take_table(self._table, found.version, found.value)
+
+    async def _read_hosts(self) -> None:
+        found = await self._store.hosts(self._hosts.version)
+        if found is not None:
+            self._hosts.replace(found.revision, hosts.to_rows(found.hosts))
+
+    def _answered(self) -> None:
+        self._answered_at_s = time.monotonic()
         metrics.document_checked.labels(self._table.name).set(time.time())
+
+
+def take_table(
+    table: document.VersionedDocument, version: int, value: Any
+) -> bool:
+    """Take the platform's table object; return whether it was newer.
+
+    An object that is not a table is logged and leaves the one in force.
+    """
+    rows = value.get('rows') if isinstance(value, Mapping) else None
+    if not isinstance(rows, Mapping):
+        logging.error('table version %d has no rows, ignored', version)
+        return False
+    if not table.replace(version, rows):
+        return False
+    metrics.document_version.labels(table.name).set(version)
+    logging.info('table version %d in force', version)
+    return True
--- a/src/wagtailhollow/internal/distribution/sync.py
+++ b/src/wagtailhollow/internal/distribution/sync.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+from collections.abc import Iterable
 
 from absl import logging
 
@@ -30,7 +31,7 @@
         handlers: connection.Handlers,
     ) -> None:
         self._documents = documents
-        self._fetching: set[str] = set()
+        self._fetching: set[tuple[str, str]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         handlers.on_request(ttypes.DocumentFetch)(self._serve_fetch)
         handlers.on_notice(ttypes.DocumentDelta)(self._take_delta)
@@ -53,13 +54,17 @@
             if known is not None and seen.version > known.version:
                 self._start_fetch(conn, seen.name)
 
-    def push(self, conn: connection.PeerConnection, name: str) -> None:
-        """Send the last change of a document to a peer, without a request."""
-        item = self._documents[name]
-        change = item.last_change()
-        if change is not None:
+    def push(
+        self, conns: Iterable[connection.PeerConnection], name: str
+    ) -> None:
+        """Send the last change of a document to peers, without a request."""
+        change = self._documents[name].last_change()
+        if change is None:
+            return
+        message = _delta(name, change)
+        for conn in conns:
             with contextlib.suppress(connection.ConnectionLost):
-                conn.post(_delta(name, change))
+                conn.post(message)
 
     async def fetch(self, conn: connection.PeerConnection, name: str) -> None:
         """Bring a document up to the version of the peer."""
@@ -70,9 +75,12 @@
         self._take_delta(conn, reply)
 
     def _start_fetch(self, conn: connection.PeerConnection, name: str) -> None:
-        if name in self._fetching:
+        # One fetch for each peer: a peer that is frozen must not keep the
+        # document from being fetched from another one.
+        fetching = (name, conn.peer.node)
+        if fetching in self._fetching:
             return
-        self._fetching.add(name)
+        self._fetching.add(fetching)
         task = asyncio.create_task(self._fetch_once(conn, name))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -91,7 +99,7 @@
                 'fetch of %s from %s failed: %r', name, conn.peer.node, exc
             )
         finally:
-            self._fetching.discard(name)
+            self._fetching.discard((name, conn.peer.node))
 
     async def _serve_fetch(
         self, conn: connection.PeerConnection, message: ttypes.DocumentFetch
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -9,8 +9,9 @@
 
 from ..claims import claims
 from ..daemon import http, lifecycle
-from ..distribution import document, source, sync
-from ..membership import hosts
+from ..distribution import document, overrides, source, start, sync
+from ..membership import hosts, relays, subset
+from ..operators import served
 from ..platform import http_store
 from ..routing import load_view, power_of_two
 from ..settings import schema
@@ -20,6 +21,9 @@
 from ..wire.gen import ttypes
 from . import admission, app, attempts, calls, claimed_calls
 
+PEERS_PERIOD_S = 0.5
+"""How often the wanted peers are worked out: liveness changes with time."""
+
 FIRST_REPORTS_WAIT_S = 5.0
 """How long a starting entry waits for a target of each service."""
 
@@ -38,16 +42,29 @@
         self._hosts = document.VersionedDocument(hosts.HOSTS_DOCUMENT)
         self._hosts.on_change(self._hosts_changed)
         self._view: queries.TableView | None = None
+        self._direct = overrides.DirectWithdrawals(self._table, self._publish)
         self._load_view = load_view.LoadView()
         self._handlers = connection.Handlers()
         self._handlers.on_notice(ttypes.Heartbeat)(self._heard)
+        self._handlers.opened.append(self._connection_opened)
         self._handlers.closed.append(self._connection_closed)
         self._sync = sync.DocumentSync(
             {item.name: item for item in (self._table, self._hosts)},
             self._handlers,
         )
+        self._duty = relays.RelayDuty(cfg.node, cfg.data_centre)
         self._source = source.PlatformSource(
-            self._store, self._table, self._hosts
+            self._store, self._table, self._hosts, self._duty
+        )
+        self._table_start = start.TableStart(
+            self._store, self._table, self._publish
+        )
+        self._operators = served.OperatorService(
+            self._handlers,
+            (self._table, self._hosts),
+            self._direct,
+            self._status,
+            self._all_peers,
         )
         identity = auth.Identity(
             cfg.node,
@@ -87,6 +104,7 @@
             cfg.request_limits.max_connections,
             cfg.request_limits.max_header_bytes,
         )
+        self._agents: list[str] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._started_s = time.monotonic()
         self._was_ready = False
@@ -97,8 +115,10 @@
         await self._server.start(host, int(port))
         await self._http.start()
         self._tasks = [
-            asyncio.create_task(self._source.follow_table()),
-            asyncio.create_task(self._source.follow_hosts()),
+            lifecycle.background(self._table_start.run()),
+            lifecycle.background(self._keep_peers()),
+            lifecycle.background(self._source.follow_table()),
+            lifecycle.background(self._source.follow_hosts()),
         ]
 
     async def drain(self) -> None:
@@ -149,29 +169,97 @@
         return sorted(listed - in_service) if listed else ['any service']
 
     def _table_changed(self, change: document.Change) -> None:
-        self._view = queries.TableView(
-            model.Table(self._table.version, self._table.rows)
-        )
-        for conn in self._peers.open_connections():
-            self._sync.push(conn, self._table.name)
+        self._direct.table_changed(change)
+        self._publish()
+        self._push(self._table.name)
+
+    def _publish(self) -> None:
+        if self._table_start.is_confirmed:
+            rows = self._direct.overlay(self._table.rows)
+            self._view = queries.TableView(
+                model.Table(self._table.version, rows)
+            )
 
     def _hosts_changed(self, change: document.Change) -> None:
         rows = hosts.from_rows(self._hosts.rows)
-        self._peers.want(row.address for row in rows if row.role == 'agent')
+        self._duty.set_hosts(rows)
+        self._agents = [
+            row.address
+            for row in subset.agents_of_entry(
+                self._cfg.node, self._cfg.data_centre, rows
+            )
+        ]
+        self._want_peers()
+        self._push(self._hosts.name)
+
+    def _push(self, name: str) -> None:
+        """Send a change to the agents and, as a relay, to the entries."""
+        conns = self._peers.open_connections()
+        if self._duty.is_relay():
+            conns = self._all_peers()
+        self._sync.push(conns, name)
+
+    def _all_peers(self) -> list[connection.PeerConnection]:
+        accepted = [
+            conn
+            for conn in self._server.connections.values()
+            if conn.peer.role == ttypes.Role.ENTRY
+        ]
+        return [*self._peers.open_connections(), *accepted]
+
+    def _want_peers(self) -> None:
+        # The seed peers are for a start while the platform is down.
+        is_started = self._table_start.is_confirmed and self._hosts.version
+        seeds = () if is_started else self._cfg.seed_peers
+        self._peers.want(
+            [*self._agents, *self._duty.wanted_addresses(), *seeds]
+        )
+
+    async def _keep_peers(self) -> None:
+        while True:
+            self._want_peers()
+            await asyncio.sleep(PEERS_PERIOD_S)
+
+    def _status(self) -> dict[str, object]:
+        reason = self._not_ready_reason()
+        return {
+            'role': 'entry',
+            'ready': reason is None,
+            'not_ready_reason': reason or '',
+            'in_progress': self._app.in_progress,
+            'is_relay': self._duty.is_relay(),
+            'platform_is_current': self._source.is_current(),
+        }
 
     def _heard(
         self, conn: connection.PeerConnection, message: ttypes.Heartbeat
     ) -> None:
+        self._duty.heard(conn.peer, message.documents)
         self._sync.notice_versions(conn, message.documents)
+        self._table_start.heard(conn.peer.node, message.documents)
         if message.load is not None:
             self._load_view.take(conn.peer, message.load, message.draining)
 
+    def _connection_opened(self, conn: connection.PeerConnection) -> None:
+        if conn.peer.role == ttypes.Role.ENTRY:
+            self._duty.opened(conn.peer, conn)
+
     def _connection_closed(self, conn: connection.PeerConnection) -> None:
-        self._load_view.forget(conn.peer.node)
+        if conn.peer.role == ttypes.Role.ENTRY:
+            self._duty.closed(conn.peer, conn)
+        elif conn.peer.role == ttypes.Role.AGENT:
+            self._load_view.forget(conn.peer.node)
+
+    def _versions(self) -> list[ttypes.DocumentVersion]:
+        versions = self._sync.versions()
+        if self._duty.is_relay() and self._source.is_current():
+            mark = ttypes.DocumentVersion(relays.RELAY_MARK, 1)
+            versions.append(mark)
+        return versions
 
     def _heartbeat(self, conn: connection.PeerConnection) -> ttypes.Heartbeat:
         return ttypes.Heartbeat(
             sent_at_ms=time.monotonic_ns() // 1_000_000,
-            documents=self._sync.versions(),
+            documents=self._versions(),
             draining=self._app.draining,
         )
--- a/src/wagtailhollow/internal/membership/rendezvous.py
+++ b/src/wagtailhollow/internal/membership/rendezvous.py
@@ -15,7 +15,7 @@
 
 def score(duty: str, node: str) -> int:
     """Return the rank of *node* for *duty*; the highest wins."""
-    return xxhash.xxh3_64_intdigest(f'{duty}\0{node}')
+    return xxhash.xxh3_64_intdigest(f'{duty}\0{node}'.encode())
 
 
 def winners(duty: str, nodes: Iterable[str], count: int) -> list[str]:
--- /dev/null
+++ b/src/wagtailhollow/internal/membership/subset.py
@@ -0,0 +1,102 @@
+"""Which agents an entry connects to, without agreement.
+
+At the design scale an entry cannot connect to all 5,700 agents. Each agent is
+taken by the two entries of its data centre that rank highest for it, so no
+agent is left without an entry and the loss of one entry moves only its own
+agents. The rest of an entry's places go to the agents that rank highest for
+the entry, half of all places to its own data centre and the others in turn to
+the other data centres, so that work can move there at once.
+"""
+
+from __future__ import annotations
+
+import collections
+import itertools
+from collections.abc import Iterable, Iterator, Sequence
+
+from ..platform import api
+from . import rendezvous
+
+AGENTS_PER_SERVICE = 48
+ENTRIES_PER_AGENT = 2
+
+
+def agents_of_entry(
+    node: str,
+    data_centre: str,
+    hosts: Sequence[api.HostRow],
+    count: int = AGENTS_PER_SERVICE,
+) -> list[api.HostRow]:
+    """Return the agents that the entry *node* connects to.
+
+    At most *count* of each service, more only if more agents have this entry
+    as one of their :data:`ENTRIES_PER_AGENT`.
+    """
+    by_service = collections.defaultdict(list)
+    for host in hosts:
+        if host.role == 'agent':
+            by_service[host.service].append(host)
+    entries = _entries_by_data_centre(node, data_centre, hosts)
+    return [
+        agent
+        for _, agents in sorted(by_service.items())
+        for agent in _of_service(node, data_centre, agents, entries, count)
+    ]
+
+
+def _entries_by_data_centre(
+    node: str, data_centre: str, hosts: Iterable[api.HostRow]
+) -> dict[str, set[str]]:
+    result: dict[str, set[str]] = collections.defaultdict(set)
+    result[data_centre].add(node)
+    for host in hosts:
+        if host.role == 'entry':
+            result[host.data_centre].add(host.node)
+    return result
+
+
+def _of_service(
+    node: str,
+    data_centre: str,
+    agents: Sequence[api.HostRow],
+    entries: dict[str, set[str]],
+    count: int,
+) -> list[api.HostRow]:
+    if len(agents) <= count:
+        return list(agents)
+    every_entry = set().union(*entries.values())
+    due = [
+        agent
+        for agent in agents
+        if node
+        in rendezvous.winners(
+            agent.node,
+            entries.get(agent.data_centre) or every_entry,
+            ENTRIES_PER_AGENT,
+        )
+    ]
+    chosen = {agent.node: agent for agent in due}
+    for agent in _preferred(node, data_centre, agents, count):
+        if len(chosen) >= count:
+            break
+        chosen.setdefault(agent.node, agent)
+    return list(chosen.values())
+
+
+def _preferred(
+    node: str, data_centre: str, agents: Sequence[api.HostRow], count: int
+) -> Iterator[api.HostRow]:
+    ranked = sorted(
+        agents,
+        key=lambda agent: (rendezvous.score(node, agent.node), agent.node),
+        reverse=True,
+    )
+    own = [agent for agent in ranked if agent.data_centre == data_centre]
+    others = collections.defaultdict(list)
+    for agent in ranked:
+        if agent.data_centre != data_centre:
+            others[agent.data_centre].append(agent)
+    order = rendezvous.winners(node, others, len(others))
+    rounds = itertools.zip_longest(*(others[name] for name in order))
+    spread = [agent for row in rounds for agent in row if agent is not None]
+    return itertools.chain(own[: count // 2], spread, own[count // 2 :])
--- /dev/null
+++ b/src/wagtailhollow/internal/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' client, and what the daemons serve to it."""
--- a/src/wagtailhollow/internal/settings/schema.py
+++ b/src/wagtailhollow/internal/settings/schema.py
@@ -26,6 +26,14 @@
     return loader.setting(allowed=_ADDRESS, check=loader.is_address)
 
 
+def _addresses() -> tuple[str, ...]:
+    return loader.setting(
+        (),
+        allowed='a list of addresses, each host:port with a numeric port',
+        check=lambda value: all(map(loader.is_address, value)),
+    )
+
+
 def _log_level() -> str:
     return loader.setting(
         'info',
@@ -75,6 +83,7 @@
     platform_url: str = loader.setting(allowed=_URL, check=loader.is_url)
     peer_keys_file: str = loader.setting(allowed='path of the key file')
     region: str = _name(default='default')
+    seed_peers: tuple[str, ...] = _addresses()
     request_limits: RequestLimits = loader.setting(
         RequestLimits(), allowed='an object'
     )
@@ -144,6 +153,7 @@
     deployment: str = _name()
     platform_url: str = loader.setting(allowed=_URL, check=loader.is_url)
     peer_keys_file: str = loader.setting(allowed='path of the key file')
+    seed_peers: tuple[str, ...] = _addresses()
     timeout_s: float = _seconds(10.0, 0.1, 600.0)
 
 
--- a/src/wagtailhollow/internal/table/model.py
+++ b/src/wagtailhollow/internal/table/model.py
@@ -1,9 +1,11 @@
 """Rows of the operators' table.
 
 The platform object ``config/table`` holds
-``{"rows": {"<kind>/<name>": {...}}, "recent_changes": [...]}``. The version of
-the table is the platform's version of that object. Every row kind is a frozen
-dataclass whose fields are the columns.
+``{"rows": {"<kind>/<name>": {...}}, "recent_changes": [...]}``, where
+``recent_changes`` are the ids of the latest edits, oldest first. The version
+of the table is the platform's version of that object. Every row kind is a
+frozen dataclass whose fields are the columns. Rows that can be withdrawn also
+carry ``change_id``, the id of the edit that last named them.
 """
 
 from __future__ import annotations
@@ -16,6 +18,8 @@
 TABLE_KEY = 'config/table'
 TABLE_DOCUMENT = 'table'
 
+WITHDRAWABLE_KINDS = ('data_centre', 'target')
+
 ROW_TYPES: dict[str, type] = {}
 
 
