Add the operators' client and compare-and-swap edits of the table

Cause: operators had no program of their own, rows were not checked, and an edit whose answer was lost could not be told from one that failed. Edits carry a change id that the table keeps for the latest 256 edits; a write is sent again only after a read, on the version read, so it takes effect at most once. A row that differs from what the operator saw is a conflict. Ruled out: recording row versions in the table to detect conflicts; digests of the rows as shown need no space in the object. The version metric is now set when a version comes into force, not when it is received.

--- a/src/wagtailhollow/internal/agent/compose.py
+++ b/src/wagtailhollow/internal/agent/compose.py
@@ -10,6 +10,7 @@
 from ... import errors
 from ..daemon import http, lifecycle
 from ..distribution import document, overrides, start, sync
+from ..observability import metrics
 from ..operators import served
 from ..platform import http_store
 from ..settings import schema
@@ -137,6 +138,9 @@
             return
         rows = self._direct.overlay(self._table.rows)
         self._view = queries.TableView(model.Table(self._table.version, rows))
+        metrics.document_version.labels(self._table.name).set(
+            self._table.version
+        )
         row = self._view.target(self._cfg.target)
         self._ramp.set_limit(row.max_concurrent)
 
--- a/src/wagtailhollow/internal/distribution/source.py
+++ b/src/wagtailhollow/internal/distribution/source.py
@@ -49,6 +49,7 @@
         self._hosts = host_list
         self._duty = duty
         self._answered_at_s: float | None = None
+        self._is_available = True
 
     def is_current(self) -> bool:
         """Return whether the platform answered within the silence limit."""
@@ -65,7 +66,7 @@
                 await self._step()
                 delay_s = RETRY_MIN_S
             except api.PlatformUnavailable as exc:
-                logging.warning('table unavailable: %s', exc)
+                self._unavailable(exc)
                 await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
                 delay_s = min(delay_s * 2, RETRY_MAX_S)
 
@@ -76,7 +77,7 @@
                 try:
                     await self._read_hosts()
                 except api.PlatformUnavailable as exc:
-                    logging.warning('host list unavailable: %s', exc)
+                    self._unavailable(exc)
             await asyncio.sleep(HOSTS_POLL_PERIOD_S)
 
     def _must_read(self) -> bool:
@@ -117,10 +118,20 @@
 
     async def _read_hosts(self) -> None:
         found = await self._store.hosts(self._hosts.version)
+        self._answered()
         if found is not None:
             self._hosts.replace(found.revision, hosts.to_rows(found.hosts))
 
+    def _unavailable(self, exc: api.PlatformUnavailable) -> None:
+        # Once for each outage: there are several attempts a second.
+        if self._is_available:
+            logging.warning('the platform does not answer: %s', exc)
+        self._is_available = False
+
     def _answered(self) -> None:
+        if not self._is_available:
+            logging.info('the platform answers again')
+        self._is_available = True
         self._answered_at_s = time.monotonic()
         metrics.document_checked.labels(self._table.name).set(time.time())
 
@@ -138,6 +149,5 @@
         return False
     if not table.replace(version, rows):
         return False
-    metrics.document_version.labels(table.name).set(version)
-    logging.info('table version %d in force', version)
+    logging.info('table version %d from the platform', version)
     return True
--- a/src/wagtailhollow/internal/distribution/start.py
+++ b/src/wagtailhollow/internal/distribution/start.py
@@ -27,6 +27,7 @@
 """
 
 RETRY_S = 0.25
+LOG_PERIOD_S = 5
 
 
 class TableStart:
@@ -78,7 +79,12 @@
                     if self._table.version >= found.version:
                         self._confirm('the platform')
             except api.PlatformUnavailable as exc:
-                logging.warning('no table from the platform: %s', exc)
+                logging.log_every_n_seconds(
+                    logging.WARNING,
+                    'no table from the platform: %s',
+                    LOG_PERIOD_S,
+                    exc,
+                )
                 self.check_peers()
             await asyncio.sleep(RETRY_S)
 
--- a/src/wagtailhollow/internal/distribution/sync.py
+++ b/src/wagtailhollow/internal/distribution/sync.py
@@ -10,7 +10,6 @@
 from absl import logging
 
 from ... import errors
-from ..observability import metrics
 from ..wire import connection
 from ..wire.gen import ttypes
 from . import document
@@ -61,7 +60,7 @@
         change = self._documents[name].last_change()
         if change is None:
             return
-        message = _delta(name, change)
+        message = encode_delta(name, change)
         for conn in conns:
             with contextlib.suppress(connection.ConnectionLost):
                 conn.post(message)
@@ -110,7 +109,9 @@
                 errors.ErrorKind.BAD_REQUEST,
                 f'no document named {message.name!r}',
             )
-        return _delta(message.name, item.changes_since(message.have_version))
+        return encode_delta(
+            message.name, item.changes_since(message.have_version)
+        )
 
     def _take_delta(
         self, conn: connection.PeerConnection, message: ttypes.DocumentDelta
@@ -124,13 +125,12 @@
             json.loads(message.rows),
             tuple(message.removed),
         )
-        if item.apply(change):
-            metrics.document_version.labels(message.name).set(item.version)
-        elif change.to_version > item.version:
+        if not item.apply(change) and change.to_version > item.version:
             self._start_fetch(conn, message.name)
 
 
-def _delta(name: str, change: document.Change) -> ttypes.DocumentDelta:
+def encode_delta(name: str, change: document.Change) -> ttypes.DocumentDelta:
+    """Return *change* as a message."""
     return ttypes.DocumentDelta(
         name,
         change.from_version,
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -11,6 +11,7 @@
 from ..daemon import http, lifecycle
 from ..distribution import document, overrides, source, start, sync
 from ..membership import hosts, relays, subset
+from ..observability import metrics
 from ..operators import served
 from ..platform import http_store
 from ..routing import load_view, power_of_two
@@ -179,6 +180,9 @@
             self._view = queries.TableView(
                 model.Table(self._table.version, rows)
             )
+            metrics.document_version.labels(self._table.name).set(
+                self._table.version
+            )
 
     def _hosts_changed(self, change: document.Change) -> None:
         rows = hosts.from_rows(self._hosts.rows)
@@ -191,6 +195,9 @@
         ]
         self._want_peers()
         self._push(self._hosts.name)
+        metrics.document_version.labels(self._hosts.name).set(
+            self._hosts.version
+        )
 
     def _push(self, name: str) -> None:
         """Send a change to the agents and, as a relay, to the entries."""
--- a/src/wagtailhollow/internal/membership/relays.py
+++ b/src/wagtailhollow/internal/membership/relays.py
@@ -57,7 +57,7 @@
         }
         nodes = {self._node, *self._addresses}
         self._ranking = rendezvous.winners(
-            f'relay/{self._data_centre}', nodes, len(nodes)
+            duty_name(self._data_centre), nodes, len(nodes)
         )
         now_s = self._clock()
         self._absent_since_s = {
@@ -123,3 +123,8 @@
             or absent_since_s is None
             or self._clock() - absent_since_s < SILENCE_LIMIT_S
         )
+
+
+def duty_name(data_centre: str) -> str:
+    """Return the name under which relays are ranked."""
+    return f'relay/{data_centre}'
--- /dev/null
+++ b/src/wagtailhollow/internal/operators/client.py
@@ -0,0 +1,200 @@
+"""Connections of the operators' client to the platform and the daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+from collections.abc import AsyncIterator, Iterable, Mapping
+from typing import Any
+
+from ... import errors
+from ..daemon import lifecycle
+from ..distribution import document, sync
+from ..membership import hosts, relays, rendezvous
+from ..platform import api, http_store
+from ..settings import schema
+from ..table import commands, model
+from ..wire import auth, connection
+from ..wire.gen import ttypes
+from . import served
+
+ASK_TIMEOUT_S = 2.0
+MAX_CONCURRENT_ASKS = 64
+
+PEER_FAILURES = (
+    connection.ConnectionLost,
+    errors.Refusal,
+    OSError,
+    TimeoutError,
+    asyncio.IncompleteReadError,
+)
+
+
+class PeerUnavailable(Exception):
+    """A daemon did not answer or refused."""
+
+
+class OperatorClient:
+    """What a command needs of the outside; use as an async context manager."""
+
+    def __init__(self, cfg: schema.OperatorSettings) -> None:
+        """Create the client.
+
+        :raises ValueError: the key file is invalid.
+        """
+        self.cfg = cfg
+        self.store = http_store.HttpObjectStore(cfg.platform_url)
+        self._key_ring = auth.KeyRing(cfg.peer_keys_file)
+        self._identity = auth.Identity(
+            f'operator-{cfg.operator}',
+            ttypes.Role.OPERATOR,
+            '',
+            cfg.deployment,
+            lifecycle.new_incarnation(),
+        )
+        self._asks = asyncio.Semaphore(MAX_CONCURRENT_ASKS)
+
+    async def __aenter__(self) -> OperatorClient:
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.store.close()
+
+    async def table(self) -> api.StoredObject:
+        """Return the table object; version 0 if there is none.
+
+        :raises PlatformUnavailable: no answer within the timeout of the
+            settings.
+        """
+        deadline_s = time.monotonic() + self.cfg.timeout_s
+        while True:
+            try:
+                found = await self.store.get(model.TABLE_KEY)
+                return found or api.StoredObject(
+                    model.TABLE_KEY, 0, {'rows': {}}
+                )
+            except api.PlatformUnavailable:
+                if time.monotonic() > deadline_s:
+                    raise
+                await asyncio.sleep(0.2)
+
+    async def hosts(self) -> list[api.HostRow]:
+        """Return the host list, from a seed peer if the platform is down.
+
+        :raises PlatformUnavailable: neither answers.
+        """
+        try:
+            found = await self.store.hosts(0)
+            return list(found.hosts) if found is not None else []
+        except api.PlatformUnavailable as exc:
+            failed = exc
+        for address in self.cfg.seed_peers:
+            with contextlib.suppress(PeerUnavailable):
+                return await self._hosts_of(address)
+        raise failed
+
+    async def status(self, address: str) -> dict[str, Any]:
+        """Return the status of the daemon at *address*.
+
+        :raises PeerUnavailable: no answer.
+        """
+        return await self._ask(address, ttypes.StatusRequest(served.STATUS))
+
+    async def withdraw_direct(self, address: str, key: str) -> dict[str, Any]:
+        """Withdraw a row at the daemon at *address*.
+
+        :raises PeerUnavailable: no answer, or it refused.
+        """
+        argument = json.dumps({'rows': {key: None}}).encode()
+        message = ttypes.StatusRequest(served.WITHDRAW_DIRECT, argument)
+        return await self._ask(address, message)
+
+    async def announce(
+        self, accepted: commands.Accepted, listed: Iterable[api.HostRow]
+    ) -> int:
+        """Send an accepted table to the relays; return how many took it.
+
+        The platform may go down right after it accepted an edit, before any
+        watch has fired.
+        """
+        change = document.Change(0, accepted.version, accepted.rows, ())
+        delta = sync.encode_delta(model.TABLE_DOCUMENT, change)
+        results = await asyncio.gather(
+            *(self._announce(row.address, delta) for row in _relays(listed))
+        )
+        return sum(results)
+
+    async def _announce(
+        self, address: str, delta: ttypes.DocumentDelta
+    ) -> bool:
+        try:
+            async with self._connected(address) as conn:
+                await conn.send(delta)
+                # The reply shows that the delta before it was handled.
+                request = ttypes.StatusRequest(served.STATUS)
+                await conn.request(request, ASK_TIMEOUT_S)
+        except PeerUnavailable:
+            return False
+        return True
+
+    async def _hosts_of(self, address: str) -> list[api.HostRow]:
+        async with self._connected(address) as conn:
+            reply = await conn.request(
+                ttypes.DocumentFetch(hosts.HOSTS_DOCUMENT, 0), ASK_TIMEOUT_S
+            )
+        return hosts.from_rows(json.loads(reply.rows))
+
+    async def _ask(
+        self, address: str, message: ttypes.StatusRequest
+    ) -> dict[str, Any]:
+        async with self._connected(address) as conn:
+            reply = await conn.request(message, ASK_TIMEOUT_S)
+        return json.loads(reply.json_text)
+
+    @contextlib.asynccontextmanager
+    async def _connected(
+        self, address: str
+    ) -> AsyncIterator[connection.PeerConnection]:
+        try:
+            async with self._asks:
+                conn = await connection.connect(
+                    address,
+                    self._identity,
+                    self._key_ring,
+                    connection.Handlers(),
+                    _heartbeat,
+                    ASK_TIMEOUT_S,
+                )
+                reader = asyncio.create_task(conn.run())
+                try:
+                    yield conn
+                finally:
+                    conn.close('done')
+                    reader.cancel()
+                    await asyncio.gather(reader, return_exceptions=True)
+        except PEER_FAILURES as exc:
+            raise PeerUnavailable(f'{address}: {exc!r}') from exc
+
+
+def _heartbeat(conn: connection.PeerConnection) -> ttypes.Heartbeat:
+    return ttypes.Heartbeat(
+        sent_at_ms=time.monotonic_ns() // 1_000_000,
+        documents=[],
+        draining=False,
+    )
+
+
+def _relays(listed: Iterable[api.HostRow]) -> list[api.HostRow]:
+    entries: Mapping[str, dict[str, api.HostRow]] = {}
+    for row in listed:
+        if row.role == 'entry':
+            entries.setdefault(row.data_centre, {})[row.node] = row
+    return [
+        rows[node]
+        for name, rows in entries.items()
+        for node in rendezvous.winners(
+            relays.duty_name(name), rows, relays.RELAYS_PER_DATA_CENTRE
+        )
+    ]
--- /dev/null
+++ b/src/wagtailhollow/internal/operators/editing.py
@@ -0,0 +1,239 @@
+"""Commands of the operators' client that read or edit the table."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import json5
+
+from ..platform import api
+from ..table import commands, model
+from . import client as client_module
+from . import outcome, table_file
+
+_CODES = {
+    commands.EditFailure.INVALID: outcome.ExitCode.INVALID,
+    commands.EditFailure.CONFLICT: outcome.ExitCode.CONFLICT,
+    commands.EditFailure.TOO_LARGE: outcome.ExitCode.INVALID,
+    commands.EditFailure.UNAVAILABLE: outcome.ExitCode.UNAVAILABLE,
+    commands.EditFailure.UNSETTLED: outcome.ExitCode.UNSETTLED,
+}
+
+
+async def show(
+    client: client_module.OperatorClient, prefix: str
+) -> outcome.Outcome:
+    """Show the table, or the rows of one kind, or one row."""
+    found = await client.table()
+    document = table_file.document(found.version, found.value['rows'], prefix)
+    if prefix and not document['rows']:
+        return outcome.failure(
+            outcome.ExitCode.INVALID, f'no row or kind {prefix!r}'
+        )
+    return outcome.Outcome(
+        outcome.ExitCode.DONE, document, json.dumps(document, indent=2)
+    )
+
+
+def validate(path: str) -> outcome.Outcome:
+    """Check a table file without the platform."""
+    result = table_file.read(path)
+    if result.is_error():
+        return _file_refused(result.error)
+    return outcome.Outcome(
+        outcome.ExitCode.DONE,
+        {'valid': True, 'rows': len(result.ok.rows)},
+        f'{path}: ok, {len(result.ok.rows)} rows',
+    )
+
+
+async def diff(
+    client: client_module.OperatorClient, path: str
+) -> outcome.Outcome:
+    """Show what ``apply`` would change."""
+    result = table_file.read(path)
+    if result.is_error():
+        return _file_refused(result.error)
+    found = await client.table()
+    rows = found.value['rows']
+    edit = table_file.edit(result.ok, rows)
+    items = table_file.differences(rows, edit.rows)
+    conflicts = [
+        key
+        for key in edit.rows
+        if commands.digest(rows.get(key)) != edit.seen[key]
+    ]
+    lines = table_file.difference_lines(items) or ['no differences']
+    lines += [f'{key}: changed by somebody else' for key in conflicts]
+    return outcome.Outcome(
+        outcome.ExitCode.CONFLICT if conflicts else outcome.ExitCode.DONE,
+        {
+            'version': found.version,
+            'differences': items,
+            'conflicts': conflicts,
+        },
+        '\n'.join(lines),
+    )
+
+
+async def apply_file(
+    client: client_module.OperatorClient, path: str
+) -> outcome.Outcome:
+    """Write the rows that the operator has edited in a table file."""
+    result = table_file.read(path)
+    if result.is_error():
+        return _file_refused(result.error)
+    found = await client.table()
+    return await _write(
+        client, found, table_file.edit(result.ok, found.value['rows'])
+    )
+
+
+async def set_row(
+    client: client_module.OperatorClient,
+    key: str,
+    columns: Mapping[str, Any] | None,
+) -> outcome.Outcome:
+    """Set columns of one row, or remove it if *columns* is None."""
+    found = await client.table()
+    rows = found.value['rows']
+    if columns is None and key not in rows:
+        return outcome.failure(outcome.ExitCode.INVALID, f'no row {key!r}')
+    changes = commands.changed_columns(rows, {key: columns})
+    return await _write(client, found, commands.edit_of_rows(rows, changes))
+
+
+async def set_state(
+    client: client_module.OperatorClient,
+    kind: str,
+    name: str,
+    state: model.ServiceState,
+) -> outcome.Outcome:
+    """Withdraw or return a data centre or a target."""
+    found = await client.table()
+    key = model.row_key(kind, name)
+    rows = found.value['rows']
+    if key not in rows:
+        known = await _names(client, kind)
+        # A withdrawal with a mistyped name must not look like a success.
+        if known is not None and name not in known:
+            return outcome.failure(
+                outcome.ExitCode.INVALID,
+                f'got the {kind} {name!r}; allowed: '
+                + ', '.join(sorted(known)),
+            )
+    changes = commands.changed_columns(rows, {key: {'state': state.value}})
+    return await _write(client, found, commands.edit_of_rows(rows, changes))
+
+
+async def withdraw_direct(
+    client: client_module.OperatorClient, kind: str, name: str, address: str
+) -> outcome.Outcome:
+    """Withdraw at the nodes around *address*, without the platform."""
+    key = model.row_key(kind, name)
+    answer = await client.withdraw_direct(address, key)
+    if key not in answer['direct_withdrawals']:
+        return outcome.failure(
+            outcome.ExitCode.CONFLICT, f'a newer table there names {key}'
+        )
+    return outcome.Outcome(
+        outcome.ExitCode.DONE,
+        answer,
+        f'{key} is withdrawn at {address} and its peers until a newer table '
+        'names it',
+    )
+
+
+def parse_columns(items: list[str]) -> dict[str, Any]:
+    """Return ``column=value`` items as columns.
+
+    A value that is not JSON is text.
+
+    :raises ValueError: an item without ``=``.
+    """
+    columns = {}
+    for item in items:
+        column, separator, text = item.partition('=')
+        if not separator or not column:
+            raise ValueError(f'got {item!r}; allowed: COLUMN=VALUE')
+        try:
+            columns[column] = json5.loads(text, allow_duplicate_keys=False)
+        except ValueError:
+            columns[column] = text
+    return columns
+
+
+async def _write(
+    client: client_module.OperatorClient,
+    found: api.StoredObject,
+    edit: commands.Edit,
+) -> outcome.Outcome:
+    if not edit.rows:
+        return outcome.Outcome(
+            outcome.ExitCode.DONE,
+            {'version': found.version, 'changes': []},
+            f'nothing to change in version {found.version}',
+        )
+    items = table_file.differences(found.value['rows'], edit.rows)
+    # Asked before the edit: the platform may be down right after it.
+    try:
+        listed = await client.hosts()
+    except api.PlatformUnavailable:
+        listed = []
+    result = await commands.apply(client.store, edit, client.cfg.timeout_s)
+    if result.is_error():
+        return _edit_refused(result.error)
+    accepted = result.ok
+    announced = await client.announce(accepted, listed)
+    document = {
+        'version': accepted.version,
+        'change_id': accepted.change_id,
+        'changes': items,
+        'relays_told': announced,
+    }
+    lines = table_file.difference_lines(items)
+    lines.append(f'accepted as version {accepted.version}')
+    return outcome.Outcome(outcome.ExitCode.DONE, document, '\n'.join(lines))
+
+
+async def _names(
+    client: client_module.OperatorClient, kind: str
+) -> set[str] | None:
+    try:
+        listed = await client.hosts()
+    except api.PlatformUnavailable:
+        return None
+    if kind == 'target':
+        return {row.target for row in listed if row.target}
+    return {row.data_centre for row in listed}
+
+
+def _file_refused(refused: table_file.FileErrors) -> outcome.Outcome:
+    return outcome.failure(
+        outcome.ExitCode.INVALID,
+        'the table file is refused',
+        rows=list(refused.lines),
+    )
+
+
+def _edit_refused(refused: commands.EditError) -> outcome.Outcome:
+    details = {}
+    if refused.rows:
+        details['rows'] = [str(item) for item in refused.rows]
+    if refused.conflicts:
+        details['conflicts'] = [
+            f'{item.row}: there is {_row_text(item.current)}, you wanted '
+            f'{_row_text(item.wanted)}'
+            for item in refused.conflicts
+        ]
+    return outcome.failure(
+        _CODES[refused.failure],
+        f'{refused.message} (change {refused.change_id})',
+        **details,
+    )
+
+
+def _row_text(row: commands.Row | None) -> str:
+    return 'no row' if row is None else json.dumps(commands.plain(row))
--- /dev/null
+++ b/src/wagtailhollow/internal/operators/reporting.py
@@ -0,0 +1,208 @@
+"""Commands of the operators' client that ask the daemons."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import datetime
+import time
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from ..platform import api
+from ..table import model
+from . import client as client_module
+from . import outcome
+
+WAIT_PERIOD_S = 0.25
+
+Answers = Mapping[str, Mapping[str, Any]]
+
+
+async def ask_all(
+    client: client_module.OperatorClient, listed: Iterable[api.HostRow]
+) -> dict[str, dict[str, Any]]:
+    """Return node to its status; ``error`` for one that did not answer."""
+
+    async def ask(row: api.HostRow) -> dict[str, Any]:
+        place = {'data_centre': row.data_centre, 'address': row.address}
+        try:
+            return {**place, **await client.status(row.address)}
+        except client_module.PeerUnavailable as exc:
+            return {**place, 'role': row.role, 'error': str(exc)}
+
+    listed = list(listed)
+    answers = await asyncio.gather(*map(ask, listed))
+    return {
+        row.node: answer for row, answer in zip(listed, answers, strict=True)
+    }
+
+
+async def nodes(client: client_module.OperatorClient) -> outcome.Outcome:
+    """Show every node and whether it answers and is ready."""
+    answers = await ask_all(client, await client.hosts())
+    lines = [
+        f'{node}\t{item["role"]}\t{item["data_centre"]}\t{_health(item)}'
+        for node, item in sorted(answers.items())
+    ]
+    return _listing('nodes', answers, lines)
+
+
+async def targets(client: client_module.OperatorClient) -> outcome.Outcome:
+    """Show every target: its state and load."""
+    agents = [row for row in await client.hosts() if row.role == 'agent']
+    answers = await ask_all(client, agents)
+    by_target = {
+        row.target: {'service': row.service, **answers[row.node]}
+        for row in agents
+    }
+    lines = [
+        f'{name}\t{item["service"]}\t{item["data_centre"]}\t'
+        + item.get('error', _load_text(item))
+        for name, item in sorted(by_target.items())
+    ]
+    return _listing('targets', by_target, lines)
+
+
+async def groups(client: client_module.OperatorClient) -> outcome.Outcome:
+    """Show every group: its ranks, its lease and its expert map."""
+    ranks = collections.defaultdict(list)
+    for row in await client.hosts():
+        if row.group:
+            ranks[row.group].append(row)
+    stored = {item.key: item for item in await client.store.list('groups/')}
+    document = {}
+    for name, rows in sorted(ranks.items()):
+        answers = await ask_all(client, rows)
+        lease = stored.get(f'groups/{name}/lease')
+        placement = stored.get(f'groups/{name}/map')
+        document[name] = {
+            'ranks': len(rows),
+            'ready_ranks': sum(
+                bool(item.get('ready')) for item in answers.values()
+            ),
+            'fencing': lease.version if lease else 0,
+            'epoch': _epoch(placement),
+        }
+    lines = [
+        f'{name}\t{item["ready_ranks"]} of {item["ranks"]} ranks ready\t'
+        f'fencing {item["fencing"]}\tepoch {item["epoch"]}'
+        for name, item in document.items()
+    ]
+    return _listing('groups', document, lines)
+
+
+async def limits(client: client_module.OperatorClient) -> outcome.Outcome:
+    """Show the limits of each organisation and the budget reserved today."""
+    rows = (await client.table()).value['rows']
+    today = datetime.datetime.now(datetime.UTC).date().isoformat()
+    stored = {
+        item.key.split('/')[1]: item.value
+        for item in await client.store.list('budgets/')
+        if item.key.endswith(f'/{today}')
+    }
+    columns = ('requests_per_s', 'tokens_per_day', 'max_concurrent')
+    document = {
+        key.partition('/')[2]: {
+            **{column: row.get(column, 0) for column in columns},
+            'budget': stored.get(key.partition('/')[2]),
+        }
+        for key, row in sorted(rows.items())
+        if key.startswith('organisation/')
+    }
+    lines = [
+        f'{name}\t'
+        + '\t'.join(f'{column} {item[column] or "-"}' for column in columns)
+        + f'\treserved today {item["budget"]}'
+        for name, item in document.items()
+    ]
+    return _listing('limits', document, lines)
+
+
+async def versions(client: client_module.OperatorClient) -> outcome.Outcome:
+    """Show the versions in force by node."""
+    answers = await ask_all(client, await client.hosts())
+    document = {
+        node: item.get('versions', {'error': item.get('error')})
+        for node, item in answers.items()
+    }
+    lines = [
+        f'{node}\t' + '\t'.join(f'{key} {x}' for key, x in item.items())
+        for node, item in sorted(document.items())
+    ]
+    return _listing('versions', document, lines)
+
+
+async def wait(
+    client: client_module.OperatorClient,
+    version: int,
+    timeout_s: float,
+    progress: Callable[[str], None],
+) -> outcome.Outcome:
+    """Wait until every listed node has the table in *version* or newer."""
+    started_s = time.monotonic()
+    left = {row.node: row for row in await client.hosts()}
+    total = len(left)
+    while True:
+        answers = await ask_all(client, left.values())
+        left = {
+            node: row
+            for node, row in left.items()
+            if _table_version(answers[node]) < version
+        }
+        elapsed_s = time.monotonic() - started_s
+        progress(
+            f'{total - len(left)} of {total} nodes after {elapsed_s:.1f}s'
+        )
+        if not left:
+            return outcome.Outcome(
+                outcome.ExitCode.DONE,
+                {'version': version, 'nodes': total, 'seconds': elapsed_s},
+                f'version {version} is in force at {total} nodes',
+            )
+        if elapsed_s > timeout_s:
+            return outcome.failure(
+                outcome.ExitCode.NOT_IN_FORCE,
+                f'version {version} is not confirmed by {len(left)} of '
+                f'{total} nodes',
+                nodes=[_unconfirmed(node, answers[node]) for node in left],
+            )
+        await asyncio.sleep(WAIT_PERIOD_S)
+
+
+def _table_version(answer: Mapping[str, Any]) -> int:
+    return answer.get('versions', {}).get(model.TABLE_DOCUMENT, 0)
+
+
+def _unconfirmed(node: str, answer: Mapping[str, Any]) -> str:
+    return f'{node}: ' + answer.get(
+        'error', f'has version {_table_version(answer)}'
+    )
+
+
+def _health(item: Mapping[str, Any]) -> str:
+    if 'error' in item:
+        return f'no answer: {item["error"]}'
+    return 'ready' if item['ready'] else item['not_ready_reason']
+
+
+def _load_text(item: Mapping[str, Any]) -> str:
+    return (
+        f'{item.get("state")}\t{item.get("running")} running, '
+        f'{item.get("queued")} queued, cap {item.get("cap")}'
+    )
+
+
+def _epoch(placement: api.StoredObject | None) -> int:
+    value = placement.value if placement else None
+    return value.get('epoch', 0) if isinstance(value, Mapping) else 0
+
+
+def _listing(
+    name: str, document: Mapping[str, Any], lines: list[str]
+) -> outcome.Outcome:
+    return outcome.Outcome(
+        outcome.ExitCode.DONE,
+        {name: document},
+        '\n'.join(lines) or f'no {name}',
+    )
--- /dev/null
+++ b/src/wagtailhollow/internal/operators/table_file.py
@@ -0,0 +1,147 @@
+"""Table files: what ``show`` writes and ``apply`` reads.
+
+``{"version": 7, "seen": {"<kind>/<name>": "<digest>"}, "rows": {...}}`` in
+JSON with comments. ``seen`` holds the digest of each row as it was shown, so
+that ``apply`` knows which rows the operator has edited and whether somebody
+else has changed them since. A file without ``seen`` sets the rows that it
+names and removes none.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import expression
+import json5
+
+from ..table import commands, validation
+
+_KEYS = ('version', 'seen', 'rows')
+
+
+@dataclasses.dataclass(frozen=True)
+class TableFile:
+    """Rows of a file, and the digests of the rows as they were shown."""
+
+    rows: commands.Rows
+    seen: Mapping[str, str] | None
+
+
+@dataclasses.dataclass(frozen=True)
+class FileErrors:
+    """Why a file was refused; one line for each error."""
+
+    lines: tuple[str, ...]
+
+
+def document(
+    version: int, rows: commands.Rows, prefix: str = ''
+) -> dict[str, Any]:
+    """Return the rows whose key starts with *prefix* as a table file."""
+    shown = {
+        key: commands.plain(rows[key])
+        for key in sorted(rows)
+        if key == prefix or key.startswith(f'{prefix}/') or not prefix
+    }
+    seen = {key: commands.digest(row) for key, row in shown.items()}
+    return {'version': version, 'seen': seen, 'rows': shown}
+
+
+def read(path: str) -> expression.Result[TableFile, FileErrors]:
+    """Return the file's rows, or all that is wrong with it."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+        found = json5.loads(text, allow_duplicate_keys=False)
+    except (OSError, ValueError, RecursionError) as exc:
+        return _refused(path, [f'got {exc}; allowed: JSON with comments'])
+    if not isinstance(found, dict) or not isinstance(found.get('rows'), dict):
+        return _refused(path, ['got no "rows"; allowed: {"rows": {...}}'])
+    unknown = sorted(found.keys() - set(_KEYS))
+    if unknown:
+        allowed = ', '.join(_KEYS)
+        return _refused(
+            path,
+            [
+                f'{key}: got an unknown key; allowed: {allowed}'
+                for key in unknown
+            ],
+        )
+    seen = found.get('seen')
+    if seen is not None and not _is_seen(seen):
+        return _refused(
+            path, ['seen: allowed: an object, row key to digest, as shown']
+        )
+    rows = found['rows']
+    problems = [
+        *validation.check_rows(rows),
+    ] or list(validation.check_uniqueness(rows))
+    if problems:
+        return _refused(path, map(str, problems))
+    return expression.Ok(TableFile(rows, seen))
+
+
+def edit(file: TableFile, current: commands.Rows) -> commands.Edit:
+    """Return the edit that the operator made to the rows as shown."""
+    if file.seen is None:
+        changes = {
+            key: row
+            for key, row in file.rows.items()
+            if commands.digest(row) != commands.digest(current.get(key))
+        }
+        return commands.edit_of_rows(current, changes)
+    changes = {
+        key: file.rows.get(key)
+        for key in sorted({*file.rows, *file.seen})
+        if commands.digest(file.rows.get(key)) != file.seen.get(key, '')
+    }
+    return commands.Edit(
+        changes, {key: file.seen.get(key, '') for key in changes}
+    )
+
+
+def differences(
+    current: commands.Rows, changes: Mapping[str, commands.Row | None]
+) -> list[dict[str, Any]]:
+    """Return one item for each column that *changes* would change."""
+    return [
+        {'row': key, 'column': column, 'from': before, 'to': after}
+        for key, row in changes.items()
+        for column, before, after in _columns(current.get(key), row)
+    ]
+
+
+def difference_lines(found: Iterable[Mapping[str, Any]]) -> list[str]:
+    """Return differences for a person, one line each."""
+    return [
+        f'{item["row"]}: {item["column"] or "row"}: '
+        f'{validation.shown(item["from"])} -> {validation.shown(item["to"])}'
+        for item in found
+    ]
+
+
+def _columns(
+    before: commands.Row | None, after: commands.Row | None
+) -> list[tuple[str, Any, Any]]:
+    if before is None or after is None:
+        old = None if before is None else commands.plain(before)
+        return [] if old == after else [('', old, after)]
+    return [
+        (column, before.get(column), after.get(column))
+        for column in sorted({*commands.plain(before), *after})
+        if before.get(column) != after.get(column)
+    ]
+
+
+def _is_seen(seen: Any) -> bool:
+    return isinstance(seen, dict) and all(
+        isinstance(value, str) for value in seen.values()
+    )
+
+
+def _refused(
+    path: str, lines: Iterable[str]
+) -> expression.Result[TableFile, FileErrors]:
+    return expression.Error(FileErrors(tuple(f'{path}: {x}' for x in lines)))
--- /dev/null
+++ b/src/wagtailhollow/internal/table/commands.py
@@ -0,0 +1,267 @@
+"""Edits of the table: compare-and-swap on the rows touched.
+
+An edit names the rows that it changes and, for each, a digest of the row as
+the operator saw it. It is redone on each newer version of the table until it
+is written. A row that has changed since it was seen is a conflict.
+
+The table carries the ids of the latest edits. An edit whose answer was lost
+is settled by reading the table: its id is in there even when others have
+edited since. A write is only sent again after such a read, and on the version
+that was read, so that it can take effect at most once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import enum
+import hashlib
+import json
+import random
+import secrets
+import time
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import expression
+
+from ..platform import api, settled_put
+from . import model, validation
+
+Row = Mapping[str, Any]
+Rows = Mapping[str, Row]
+
+RECENT_CHANGES = 256
+"""Edits whose ids are kept; at 0.3 edits a second these are 14 minutes."""
+
+SIZE_LIMIT_BYTES = 950_000
+"""Below the platform's limit of 1 MB, so that a full table can still be
+edited: a withdrawal adds up to 300 bytes."""
+
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 0.5
+
+
+class EditFailure(enum.Enum):
+    """Why an edit was not accepted, or is not known to be."""
+
+    INVALID = 'invalid'
+    CONFLICT = 'conflict'
+    TOO_LARGE = 'too_large'
+    UNAVAILABLE = 'unavailable'
+    UNSETTLED = 'unsettled'
+
+
+@dataclasses.dataclass(frozen=True)
+class RowConflict:
+    """A row that somebody else changed after the operator saw it."""
+
+    row: str
+    current: Row | None
+    wanted: Row | None
+
+
+@dataclasses.dataclass(frozen=True)
+class EditError:
+    """An edit that was not accepted.
+
+    :ivar change_id: id of the edit, by which it can be looked for.
+    :ivar message: one sentence for the operator.
+    """
+
+    failure: EditFailure
+    change_id: str
+    message: str
+    rows: tuple[validation.RowError, ...] = ()
+    conflicts: tuple[RowConflict, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True)
+class Accepted:
+    """An edit that is known to have taken effect.
+
+    :ivar version: a version of the table that contains the edit.
+    :ivar rows: all rows of that version.
+    """
+
+    version: int
+    change_id: str
+    rows: Rows
+
+
+@dataclasses.dataclass(frozen=True)
+class Edit:
+    """Rows to write, and what the operator saw in their place.
+
+    :ivar rows: row key to the whole new row, None to remove it.
+    :ivar seen: row key to the :func:`digest` of the row as seen.
+    """
+
+    rows: Mapping[str, Row | None]
+    seen: Mapping[str, str]
+    change_id: str = dataclasses.field(
+        default_factory=lambda: secrets.token_hex(8)
+    )
+
+
+def digest(row: Row | None) -> str:
+    """Return a short digest of *row*, '' for a row that does not exist."""
+    if row is None:
+        return ''
+    text = json.dumps(plain(row), sort_keys=True, separators=(',', ':'))
+    return hashlib.sha256(text.encode()).hexdigest()[:16]
+
+
+def plain(row: Row) -> dict[str, Any]:
+    """Return *row* with the columns that belong to operators."""
+    return {
+        column: value
+        for column, value in row.items()
+        if column != model.CHANGE_ID_COLUMN
+    }
+
+
+def changed_columns(
+    rows: Rows, changes: Mapping[str, Row | None]
+) -> Mapping[str, Row | None]:
+    """Return whole rows for *changes*, which hold only some columns."""
+    return {
+        key: None if row is None else {**plain(rows.get(key, {})), **row}
+        for key, row in changes.items()
+    }
+
+
+def edit_of_rows(current: Rows, changes: Mapping[str, Row | None]) -> Edit:
+    """Return an edit of rows that the operator saw as in *current*."""
+    return Edit(changes, {key: digest(current.get(key)) for key in changes})
+
+
+async def apply(
+    store: api.ObjectStore, edit: Edit, timeout_s: float
+) -> expression.Result[Accepted, EditError]:
+    """Write *edit* and settle whether it was accepted."""
+    if errors := validation.check_rows(_present(edit.rows)):
+        return _error(
+            edit, EditFailure.INVALID, _count(errors), rows=tuple(errors)
+        )
+    deadline_s = time.monotonic() + timeout_s
+    delay_s = RETRY_MIN_S
+    is_sent = False
+    message = 'no time was left to ask the platform'
+    while time.monotonic() < deadline_s:
+        try:
+            found = await store.get(model.TABLE_KEY)
+            if found is not None and is_applied(found.value, edit.change_id):
+                return _accepted(edit, found)
+            prepared = _prepare(edit, found)
+            if isinstance(prepared, EditError):
+                return expression.Error(prepared)
+            is_sent = True
+            written = await settled_put.settled_put(
+                store,
+                model.TABLE_KEY,
+                prepared,
+                found.version if found is not None else api.ABSENT,
+                lambda value: is_applied(value, edit.change_id),
+            )
+            return _accepted(edit, written)
+        except api.Conflict:
+            # Another edit was first, or an earlier sending of this one was
+            # applied: the next read tells which.
+            message = 'other edits were always first'
+        except api.PlatformUnavailable as exc:
+            message = str(exc)
+        await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
+        delay_s = min(delay_s * 2, RETRY_MAX_S)
+    if is_sent:
+        return _error(edit, EditFailure.UNSETTLED, message)
+    return _error(edit, EditFailure.UNAVAILABLE, message)
+
+
+def is_applied(value: Any, change_id: str) -> bool:
+    """Return whether the edit *change_id* is in this table object."""
+    return isinstance(value, Mapping) and change_id in value.get(
+        'recent_changes', ()
+    )
+
+
+def _prepare(
+    edit: Edit, found: api.StoredObject | None
+) -> dict[str, Any] | EditError:
+    """Return the table object with *edit* in it, or why there is none."""
+    value = found.value if found is not None else {}
+    rows = dict(value.get('rows', {}))
+    conflicts = tuple(
+        RowConflict(key, rows.get(key), row)
+        for key, row in edit.rows.items()
+        if digest(rows.get(key)) != edit.seen.get(key, '')
+    )
+    if conflicts:
+        names = ', '.join(conflict.row for conflict in conflicts)
+        return EditError(
+            EditFailure.CONFLICT,
+            edit.change_id,
+            f'changed by somebody else since you saw them: {names}',
+            conflicts=conflicts,
+        )
+    for key, row in edit.rows.items():
+        if row is None:
+            rows.pop(key, None)
+        else:
+            rows[key] = _stamped(key, row, edit.change_id)
+    if errors := validation.check_uniqueness(rows):
+        return EditError(
+            EditFailure.INVALID,
+            edit.change_id,
+            _count(errors),
+            rows=tuple(errors),
+        )
+    changes = [*value.get('recent_changes', ()), edit.change_id]
+    result = {'rows': rows, 'recent_changes': changes[-RECENT_CHANGES:]}
+    size = len(json.dumps(result, separators=(',', ':')).encode())
+    if size > SIZE_LIMIT_BYTES:
+        return EditError(
+            EditFailure.TOO_LARGE,
+            edit.change_id,
+            f'the table would have {size} bytes; allowed: at most '
+            f'{SIZE_LIMIT_BYTES}; remove rows or shorten columns',
+        )
+    return result
+
+
+def _stamped(key: str, row: Row, change_id: str) -> dict[str, Any]:
+    # The column makes each edit of such a row visible to the nodes, even one
+    # that sets what was set already: it ends a direct withdrawal.
+    result = plain(row)
+    if key.partition('/')[0] in model.WITHDRAWABLE_KINDS:
+        result[model.CHANGE_ID_COLUMN] = change_id
+    return result
+
+
+def _present(rows: Mapping[str, Row | None]) -> Rows:
+    return {key: row for key, row in rows.items() if row is not None}
+
+
+def _accepted(
+    edit: Edit, found: api.StoredObject
+) -> expression.Result[Accepted, EditError]:
+    return expression.Ok(
+        Accepted(found.version, edit.change_id, found.value['rows'])
+    )
+
+
+def _count(errors: Iterable[validation.RowError]) -> str:
+    errors = list(errors)
+    word = 'error' if len(errors) == 1 else 'errors'
+    return f'{len(errors)} {word} in the rows'
+
+
+def _error(
+    edit: Edit,
+    failure: EditFailure,
+    message: str,
+    rows: tuple[validation.RowError, ...] = (),
+) -> expression.Result[Accepted, EditError]:
+    return expression.Error(
+        EditError(failure, edit.change_id, message, rows=rows)
+    )
--- a/src/wagtailhollow/internal/table/model.py
+++ b/src/wagtailhollow/internal/table/model.py
@@ -19,6 +19,7 @@
 TABLE_DOCUMENT = 'table'
 
 WITHDRAWABLE_KINDS = ('data_centre', 'target')
+CHANGE_ID_COLUMN = 'change_id'
 
 ROW_TYPES: dict[str, type] = {}
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,9 @@
 
 Faults by ``POST /faults`` with a JSON object: ``down`` (every call fails),
 ``delay_s``, ``lose_answers`` (that many writes take effect but answer 500),
-``freeze_hosts`` (the host list stops changing).
+``freeze_hosts`` (the host list stops changing), ``mute_watches`` (watches
+never answer, though other calls do), ``down_after_write`` (the platform goes
+down as soon as the next write has been answered, before any watch fires).
 """
 
 from __future__ import annotations
@@ -11,6 +13,7 @@
 import collections
 import dataclasses
 import json
+import time
 from typing import Any
 
 from starlette import applications, requests, responses, routing
@@ -26,6 +29,8 @@
     delay_s: float = 0.0
     lose_answers: int = 0
     freeze_hosts: bool = False
+    mute_watches: bool = False
+    down_after_write: bool = False
 
 
 class Platform:
@@ -39,6 +44,7 @@
         self._changed = asyncio.Event()
         self._faults = Faults()
         self._counts: collections.Counter[str] = collections.Counter()
+        self._history: list[dict[str, Any]] = []
 
     def app(self) -> applications.Starlette:
         """Return the ASGI application."""
@@ -58,6 +64,7 @@
                 ),
                 routing.Route('/faults', self._set_faults, methods=['POST']),
                 routing.Route('/counts', self._get_counts),
+                routing.Route('/history', self._get_history),
             ]
         )
 
@@ -76,8 +83,13 @@
             self._objects[key] = (self._revision, await req.json())
         else:
             self._objects.pop(key, None)
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._history.append(
+            {'key': key, 'version': self._revision, 'time': time.time()}
+        )
+        if self._faults.down_after_write:
+            self._faults.down_after_write = False
+            self._faults.down = True
+        self._wake()
         if self._faults.lose_answers > 0:
             self._faults.lose_answers -= 1
             return _json({'error': 'answer lost'}, 500)
@@ -112,13 +124,16 @@
         while loop.time() < deadline_s:
             if failed := await self._fault():
                 return failed
-            if self._objects.get(key, (0, None))[0] > after:
+            is_newer = self._objects.get(key, (0, None))[0] > after
+            if is_newer and not self._faults.mute_watches:
                 return self._get(key, None)
             try:
                 async with asyncio.timeout_at(deadline_s):
                     await self._changed.wait()
             except TimeoutError:
                 break
+        while self._faults.mute_watches:
+            await self._changed.wait()
         return responses.Response(status_code=304)
 
     async def _get_hosts(self, req: requests.Request) -> responses.Response:
@@ -145,13 +160,20 @@
 
     async def _set_faults(self, req: requests.Request) -> responses.Response:
         self._faults = dataclasses.replace(self._faults, **(await req.json()))
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake()
         return _json(dataclasses.asdict(self._faults))
 
     async def _get_counts(self, req: requests.Request) -> responses.Response:
         return _json(dict(self._counts))
 
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _get_history(self, req: requests.Request) -> responses.Response:
+        """Return key, version and Unix time of each write."""
+        return _json(self._history)
+
     async def _fault(self) -> responses.Response | None:
         if self._faults.delay_s:
             await asyncio.sleep(self._faults.delay_s)
