--- a/src/wagtailhollow/cli/ctl.py
+++ b/src/wagtailhollow/cli/ctl.py
@@ -70,9 +70,14 @@
         return result
     if 'version' not in result.document:
         return result
-    waited = await reporting.wait(
-        client, result.document['version'], args.timeout, _progress
-    )
+    try:
+        waited = await reporting.wait(
+            client, result.document['version'], args.timeout, _progress
+        )
+    except api.PlatformUnavailable as exc:
+        waited = outcome.failure(
+            outcome.ExitCode.NOT_IN_FORCE, f'accepted, but no host list: {exc}'
+        )
     return outcome.Outcome(
         waited.code,
         {**result.document, 'in_force': waited.document},
@@ -153,6 +158,16 @@
         columns = None if args.remove else editing.parse_columns(args.columns)
         return await editing.set_row(client, args.row, columns)
 
+    async def columns(_, args: argparse.Namespace) -> outcome.Outcome:
+        return editing.columns(args.kind)
+
+    described = _command(
+        commands,
+        'columns',
+        'Show the columns of the table and what they may hold.',
+        columns,
+    )
+    described.add_argument('kind', nargs='?', choices=tuple(model.ROW_TYPES))
     show = _command(
         commands,
         'show',
--- a/src/wagtailhollow/internal/membership/subset.py
+++ b/src/wagtailhollow/internal/membership/subset.py
@@ -76,7 +76,10 @@
         )
     ]
     chosen = {agent.node: agent for agent in due}
-    for agent in _preferred(node, data_centre, agents, count):
+    others_due = [row for row in due if row.data_centre != data_centre]
+    own_places = count // 2 - (len(due) - len(others_due))
+    left = [agent for agent in agents if agent.node not in chosen]
+    for agent in _preferred(node, data_centre, left, max(0, own_places)):
         if len(chosen) >= count:
             break
         chosen.setdefault(agent.node, agent)
@@ -84,7 +87,7 @@
 
 
 def _preferred(
-    node: str, data_centre: str, agents: Sequence[api.HostRow], count: int
+    node: str, data_centre: str, agents: Sequence[api.HostRow], own_places: int
 ) -> Iterator[api.HostRow]:
     ranked = sorted(
         agents,
@@ -99,4 +102,4 @@
     order = rendezvous.winners(node, others, len(others))
     rounds = itertools.zip_longest(*(others[name] for name in order))
     spread = [agent for row in rounds for agent in row if agent is not None]
-    return itertools.chain(own[: count // 2], spread, own[count // 2 :])
+    return itertools.chain(own[:own_places], spread, own[own_places:])
--- a/src/wagtailhollow/internal/operators/editing.py
+++ b/src/wagtailhollow/internal/operators/editing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 from collections.abc import Mapping
 from typing import Any
@@ -9,6 +10,7 @@
 import json5
 
 from ..platform import api
+from ..settings import describe
 from ..table import commands, model
 from . import client as client_module
 from . import outcome, table_file
@@ -37,6 +39,27 @@
     )
 
 
+def columns(kind: str | None) -> outcome.Outcome:
+    """Show the columns of one kind of row, or of all."""
+    document = {
+        name: {
+            item.name: dataclasses.asdict(item)
+            for item in describe.columns(name)
+        }
+        for name in model.ROW_TYPES
+        if kind in (None, name)
+    }
+    lines = [
+        f'{name}.{column}\t{item["type"]}\t{item["default"]}\t'
+        f'{item["allowed"]}'
+        for name, items in document.items()
+        for column, item in items.items()
+    ]
+    return outcome.Outcome(
+        outcome.ExitCode.DONE, {'columns': document}, '\n'.join(lines)
+    )
+
+
 def validate(path: str) -> outcome.Outcome:
     """Check a table file without the platform."""
     result = table_file.read(path)
--- a/src/wagtailhollow/internal/platform/http_store.py
+++ b/src/wagtailhollow/internal/platform/http_store.py
@@ -21,6 +21,10 @@
 DEFAULT_TIMEOUT_S = 2.0
 MAX_VALUE_BYTES = 1_000_000
 
+KEEP_ALIVE_S = 3.0
+"""Below the usual 5 s of HTTP servers: a write sent on a connection that the
+server is closing has an unknown outcome and has to be settled."""
+
 
 class HttpObjectStore:
     """Adapter of :class:`api.ObjectStore` to the platform's HTTP API."""
@@ -116,7 +120,9 @@
         timeout_s: float | None = None,
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(keepalive_timeout=KEEP_ALIVE_S)
+            )
         result = 'unavailable'
         try:
             async with self._session.request(
--- a/src/wagtailhollow/internal/settings/loader.py
+++ b/src/wagtailhollow/internal/settings/loader.py
@@ -41,7 +41,13 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class _Invalid(Exception):
+class Invalid(Exception):
+    """A value that is refused; see :class:`SettingsError`.
+
+    Raised by the ``check_together`` method that a settings class may have,
+    for values that are allowed one by one but not together.
+    """
+
     key: str
     got: str
     allowed: str
@@ -77,7 +83,12 @@
     """Return whether *value* is ``host:port`` with a numeric port."""
     host, separator, port = value.rpartition(':')
     return bool(
-        separator and host and port.isdigit() and 0 <= int(port) < 65536
+        separator
+        and host
+        and port.isascii()
+        and port.isdigit()
+        and len(port) <= 5
+        and int(port) < 65536
     )
 
 
@@ -103,7 +114,7 @@
         )
     try:
         return expression.Ok(_build(cls, document, ''))
-    except _Invalid as exc:
+    except Invalid as exc:
         return expression.Error(
             SettingsError(path, exc.key, exc.got, exc.allowed)
         )
@@ -111,19 +122,25 @@
 
 def _build(cls: type[T], document: Any, prefix: str) -> T:
     if not isinstance(document, Mapping):
-        raise _Invalid(prefix.rstrip('.'), repr(document), 'an object')
+        raise Invalid(prefix.rstrip('.'), _shown(document), 'an object')
     fields = {field.name: field for field in dataclasses.fields(cls)}
     for key in document:
         if key not in fields:
             known = ', '.join(sorted(fields))
-            raise _Invalid(f'{prefix}{key}', 'an unknown key', known)
+            raise Invalid(f'{prefix}{key}', 'an unknown key', known)
     hints = typing.get_type_hints(cls)
     values = {
         name: _value(field, hints[name], document, prefix)
         for name, field in fields.items()
         if name in document or _is_required(field, prefix)
     }
-    return cls(**values)
+    result = cls(**values)
+    if hasattr(result, 'check_together'):
+        try:
+            result.check_together()
+        except Invalid as exc:
+            raise Invalid(f'{prefix}{exc.key}', exc.got, exc.allowed) from exc
+    return result
 
 
 def _is_required(field: dataclasses.Field[Any], prefix: str) -> bool:
@@ -131,7 +148,7 @@
         field.default is dataclasses.MISSING
         and field.default_factory is dataclasses.MISSING
     ):
-        raise _Invalid(
+        raise Invalid(
             f'{prefix}{field.name}',
             'no value',
             field.metadata.get('allowed', 'a value'),
@@ -151,7 +168,7 @@
     value = _typed(raw, hint, key, allowed)
     check = field.metadata.get('check')
     if value is not None and check is not None and not check(value):
-        raise _Invalid(key, repr(raw), allowed)
+        raise Invalid(key, _shown(raw), allowed)
     return value
 
 
@@ -178,8 +195,19 @@
             for name, value in raw.items()
         }
     if hint is float and type(raw) in (int, float):
-        return float(raw)
+        try:
+            return float(raw)
+        except OverflowError as exc:
+            raise Invalid(key, _shown(raw), allowed) from exc
     # bool is a subclass of int, so the exact type is compared.
     if isinstance(hint, type) and type(raw) is hint:
         return raw
-    raise _Invalid(key, repr(raw), allowed)
+    raise Invalid(key, _shown(raw), allowed)
+
+
+def _shown(raw: Any) -> str:
+    """Return a refused value for the message, cut to a readable length."""
+    # An integer of more than 4,300 digits has no text in Python.
+    is_huge = type(raw) is int and raw.bit_length() > 1_000
+    text = 'a huge number' if is_huge else repr(raw)
+    return text if len(text) <= 120 else f'{text[:117]}...'
--- a/src/wagtailhollow/internal/settings/schema.py
+++ b/src/wagtailhollow/internal/settings/schema.py
@@ -8,13 +8,13 @@
 
 _ADDRESS = 'host:port with a numeric port'
 _URL = 'an http:// or https:// URL'
-_NAME = 'a name of 1 to 64 letters, digits, dots, dashes or underscores'
+_NAME = 'a name of 1 to 64 of A-Z, a-z, 0-9, dot, dash and underscore'
 _LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
 
 def _is_name(value: str) -> bool:
     return 0 < len(value) <= 64 and all(
-        char.isalnum() or char in '._-' for char in value
+        (char.isascii() and char.isalnum()) or char in '._-' for char in value
     )
 
 
@@ -103,7 +103,9 @@
         check=lambda value: value in ('model_engine', 'plain_service'),
     )
     url: str = loader.setting(allowed=_URL, check=loader.is_url)
-    models: tuple[str, ...] = loader.setting((), allowed='a list of names')
+    models: tuple[str, ...] = loader.setting(
+        (), allowed='a list of model names, none empty', check=all
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -119,6 +121,15 @@
         check=loader.between(1.05, 4),
     )
 
+    def check_together(self) -> None:
+        """See :class:`loader.Invalid`."""
+        if self.initial_cap > self.max_cap:
+            raise loader.Invalid(
+                'initial_cap',
+                str(self.initial_cap),
+                f'at most max_cap, which is {self.max_cap}',
+            )
+
 
 @dataclasses.dataclass(frozen=True)
 class AgentSettings:
@@ -135,7 +146,9 @@
     peer_keys_file: str = loader.setting(allowed='path of the key file')
     backend: BackendSettings = loader.setting(allowed='an object')
     ramp: RampSettings = loader.setting(RampSettings(), allowed='an object')
-    group: str | None = loader.setting(None, allowed='a group name or null')
+    group: str | None = loader.setting(
+        None, allowed=f'{_NAME}, or null', check=_is_name
+    )
     rank: int | None = loader.setting(
         None,
         allowed='the rank in the group, 0 to 4095, or null',
@@ -144,6 +157,15 @@
     drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
     log_level: str = _log_level()
 
+    def check_together(self) -> None:
+        """See :class:`loader.Invalid`."""
+        if (self.group is None) != (self.rank is None):
+            raise loader.Invalid(
+                'rank',
+                f'{self.rank} with the group {self.group!r}',
+                'both group and rank, or neither',
+            )
+
 
 @dataclasses.dataclass(frozen=True)
 class OperatorSettings:
--- a/src/wagtailhollow/internal/table/commands.py
+++ b/src/wagtailhollow/internal/table/commands.py
@@ -146,22 +146,26 @@
         )
     deadline_s = time.monotonic() + timeout_s
     delay_s = RETRY_MIN_S
-    is_sent = False
+    sent_on: int | None = None
     message = 'no time was left to ask the platform'
     while time.monotonic() < deadline_s:
         try:
             found = await store.get(model.TABLE_KEY)
             if found is not None and is_applied(found.value, edit.change_id):
                 return _accepted(edit, found)
+            version = found.version if found is not None else api.ABSENT
+            if version != sent_on:
+                # What was sent on an older version can no longer be applied.
+                sent_on = None
             prepared = _prepare(edit, found)
             if isinstance(prepared, EditError):
                 return expression.Error(prepared)
-            is_sent = True
+            sent_on = version
             written = await settled_put.settled_put(
                 store,
                 model.TABLE_KEY,
                 prepared,
-                found.version if found is not None else api.ABSENT,
+                version,
                 lambda value: is_applied(value, edit.change_id),
             )
             return _accepted(edit, written)
@@ -173,7 +177,7 @@
             message = str(exc)
         await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
         delay_s = min(delay_s * 2, RETRY_MAX_S)
-    if is_sent:
+    if sent_on is not None:
         return _error(edit, EditFailure.UNSETTLED, message)
     return _error(edit, EditFailure.UNAVAILABLE, message)
 
--- a/src/wagtailhollow/internal/table/validation.py
+++ b/src/wagtailhollow/internal/table/validation.py
@@ -6,7 +6,6 @@
 import dataclasses
 import itertools
 import re
-import typing
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
@@ -130,7 +129,7 @@
         'state': _STATE,
         'weight': _WEIGHT,
         'region': Rule(
-            'a name of 1 to 64 letters, digits, dots, dashes or underscores',
+            'a name of 1 to 64 of A-Z, a-z, 0-9, dot, dash and underscore',
             lambda value: (
                 isinstance(value, str) and bool(_NAME.fullmatch(value))
             ),
@@ -156,7 +155,7 @@
     kind, _, name = key.partition('/')
     if kind not in RULES or not _NAME.fullmatch(name):
         kinds = '|'.join(RULES)
-        allowed = f'({kinds})/NAME, NAME of 1 to 64 letters, digits, . - _'
+        allowed = f'({kinds})/NAME, NAME of 1 to 64 of A-Z, a-z, 0-9, . - _'
         return [RowError(key, '', f'the row key {key!r}', allowed)]
     if not isinstance(row, Mapping):
         return [RowError(key, '', shown(row), 'an object of columns')]
@@ -177,13 +176,11 @@
     ]
 
 
-def column_type(kind: str, column: str) -> Any:
-    """Return the type of a column, for the documentation."""
-    return typing.get_type_hints(model.ROW_TYPES[kind])[column]
-
-
 def shown(value: Any) -> str:
     """Return *value* for a message, cut to a readable length."""
+    # An integer of more than 4,300 digits has no text in Python.
+    if type(value) is int and value.bit_length() > 1_000:
+        return 'a huge number'
     text = repr(value)
     return text if len(text) <= 80 else f'{text[:77]}...'
 
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -25,4 +25,7 @@
         log_level='warning',
         access_log=False,
         timeout_graceful_shutdown=1,
+        # Longer than any pause of a test between two requests, or a request
+        # may be sent on a connection that is being closed.
+        timeout_keep_alive=75,
     )
--- /dev/null
+++ b/tests/cover/test_distribution.py
@@ -0,0 +1,246 @@
+"""Versions, relays, first tables and direct withdrawals, without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from wagtailhollow import errors
+from wagtailhollow.internal.distribution import document, overrides, start
+from wagtailhollow.internal.membership import relays, rendezvous, subset
+from wagtailhollow.internal.platform import api
+from wagtailhollow.internal.wire import auth
+from wagtailhollow.internal.wire.gen import ttypes
+
+BOUNDED = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=150, database=None
+)
+rows = st.dictionaries(
+    st.sampled_from('abcd'), st.fixed_dictionaries({'v': st.integers(0, 3)})
+)
+
+
+def entry_host(number, data_centre='dc-a'):
+    name = f'entry-{data_centre}-{number}'
+    return api.HostRow(name, 'entry', data_centre, f'{name}:1')
+
+
+def agent_host(number, data_centre):
+    name = f'agent-{data_centre}-{number}'
+    return api.HostRow(
+        name, 'agent', data_centre, f'{name}:1', service='reports'
+    )
+
+
+def identity(node, data_centre='dc-a'):
+    return auth.Identity(
+        node, ttypes.Role.ENTRY, data_centre, 'demo', 1, f'{node}:1'
+    )
+
+
+@BOUNDED
+@hypothesis.given(st.lists(st.tuples(st.integers(1, 9), rows), max_size=12))
+def test_version_never_decreases_whatever_arrives(arrivals):
+    """Guards against a table that reverts when old news arrives late."""
+    item = document.VersionedDocument('table')
+    newest = (0, {})
+    for version, content in arrivals:
+        item.replace(version, content)
+        newest = max(newest, (version, content), key=lambda pair: pair[0])
+        assert (item.version, item.rows) == newest
+
+
+@BOUNDED
+@hypothesis.given(st.lists(rows, min_size=1, max_size=8), st.data())
+def test_change_from_any_version_gives_the_same_rows(contents, data):
+    """Guards against deltas that leave out or keep rows wrongly."""
+    source = document.VersionedDocument('table')
+    copies = []
+    for version, content in enumerate(contents, 1):
+        source.replace(version, content)
+        copy = document.VersionedDocument('table')
+        copy.replace(version, content)
+        copies.append(copy)
+    copy = data.draw(st.sampled_from(copies))
+    copy.apply(source.changes_since(copy.version))
+    assert (copy.version, copy.rows) == (source.version, source.rows)
+
+
+class Clock:
+    now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def test_two_highest_ranked_entries_are_relays_and_are_replaced_in_3_s():
+    """Guards against a data centre without a relay after a failure."""
+    clock = Clock()
+    hosts = [entry_host(number) for number in range(5)]
+    ranking = rendezvous.winners(
+        relays.duty_name('dc-a'), [host.node for host in hosts], 5
+    )
+    third = relays.RelayDuty(ranking[2], 'dc-a', clock)
+    third.set_hosts(hosts)
+    conns = {node: object() for node in ranking[:2]}
+    for node, conn in conns.items():
+        third.opened(identity(node), conn)
+    clock.now_s += 60
+    assert not third.is_relay()
+    assert third.wanted_addresses() == [f'{node}:1' for node in ranking[:2]]
+    third.closed(identity(ranking[0]), conns[ranking[0]])
+    clock.now_s += relays.SILENCE_LIMIT_S
+    assert third.is_relay()
+    third.opened(identity(ranking[0]), object())
+    assert not third.is_relay()
+
+
+def test_relay_counts_as_heard_only_with_its_mark_and_for_3_s():
+    """Guards against trusting a relay that is cut off from the platform."""
+    clock = Clock()
+    duty = relays.RelayDuty('me', 'dc-a', clock)
+    plain = ttypes.DocumentVersion('table', 4)
+    mark = ttypes.DocumentVersion(relays.RELAY_MARK, 1)
+    duty.heard(identity('r1'), [plain])
+    duty.heard(identity('r2', 'dc-b'), [plain, mark])
+    assert not duty.hears_a_relay()
+    duty.heard(identity('r1'), [plain, mark])
+    assert duty.hears_a_relay()
+    clock.now_s += relays.SILENCE_LIMIT_S
+    assert not duty.hears_a_relay()
+
+
+def test_subsets_cover_all_agents_prefer_the_own_and_reach_the_others():
+    """Guards against agents without an entry and entries without choice."""
+    names = [f'dc-{number}' for number in range(4)]
+    entries = [entry_host(n, name) for name in names for n in range(12)]
+    agents = [agent_host(n, name) for name in names for n in range(150)]
+    hosts = [*entries, *agents]
+    reached = {}
+    for entry in entries:
+        chosen = subset.agents_of_entry(entry.node, entry.data_centre, hosts)
+        own = sum(row.data_centre == entry.data_centre for row in chosen)
+        assert len(chosen) == subset.AGENTS_PER_SERVICE
+        assert own >= subset.AGENTS_PER_SERVICE // 2
+        assert len({row.data_centre for row in chosen}) == len(names)
+        for row in chosen:
+            reached.setdefault(row.node, set()).add(entry.node)
+    assert len(reached) == len(agents)
+    assert min(map(len, reached.values())) >= subset.ENTRIES_PER_AGENT
+
+
+def test_loss_of_an_entry_moves_few_connections_of_the_others():
+    """Guards against cutting streams all over when one entry fails."""
+    entries = [entry_host(number) for number in range(12)]
+    agents = [agent_host(number, 'dc-a') for number in range(150)]
+    moved = 0
+    for entry in entries[1:]:
+        before, after = (
+            {
+                row.node
+                for row in subset.agents_of_entry(
+                    entry.node, 'dc-a', [*listed, *agents]
+                )
+            }
+            for listed in (entries, entries[1:])
+        )
+        moved += len(before - after)
+    assert moved <= subset.AGENTS_PER_SERVICE
+
+
+class DownStore:
+    async def get(self, key, known_version=None):
+        raise api.PlatformUnavailable('down')
+
+
+def table_start(clock):
+    table = document.VersionedDocument('table')
+    confirmed = []
+    item = start.TableStart(
+        DownStore(), table, lambda: confirmed.append(1), clock
+    )
+    return item, table, confirmed
+
+
+def versions(number):
+    return [ttypes.DocumentVersion('table', number)]
+
+
+def test_first_table_from_peers_is_the_newest_of_several():
+    """Guards against starting on the table of a peer that missed news."""
+    item, table, confirmed = table_start(Clock())
+    table.replace(4, {})
+    item.heard('a', versions(4))
+    item.heard('b', versions(0))
+    item.heard('c', versions(4))
+    assert not confirmed
+    item.heard('d', versions(5))
+    assert not confirmed, 'version 5 has not been fetched yet'
+    table.replace(5, {})
+    item.check_peers()
+    assert confirmed == [1]
+
+
+def test_two_seconds_are_enough_where_there_are_few_peers():
+    """Guards against a small deployment that never starts without platform."""
+    clock = Clock()
+    item, table, confirmed = table_start(clock)
+    table.replace(4, {})
+    item.heard('a', versions(4))
+    clock.now_s += start.PEERS_WAIT_S + 0.1
+    item.check_peers()
+    assert confirmed == [1]
+
+
+def test_process_without_platform_and_peers_stays_unconfirmed():
+    """Guards against serving without a table."""
+    item, _, confirmed = table_start(Clock())
+
+    async def run():
+        async with asyncio.timeout(0.4):
+            await item.run()
+
+    with pytest.raises(TimeoutError):
+        asyncio.run(run())
+    assert not confirmed
+
+
+def direct_withdrawals(version=5):
+    table = document.VersionedDocument('table')
+    table.replace(version, {'data_centre/dc-a': {'weight': 2}})
+    item = overrides.DirectWithdrawals(table, lambda: None)
+    table.on_change(item.table_changed)
+    return item, table
+
+
+def test_direct_withdrawal_holds_until_a_newer_table_names_the_row():
+    """Guards against losing it to any edit, and against keeping it."""
+    item, table = direct_withdrawals()
+    assert item.take(b'{"rows": {"data_centre/dc-a": null}}')
+    table.replace(6, {**table.rows, 'target/t': {}})
+    row = item.overlay(table.rows)['data_centre/dc-a']
+    assert row == {'weight': 2, 'state': 'withdrawn'}
+    table.replace(7, {**table.rows, 'data_centre/dc-a': {'change_id': 'x'}})
+    assert item.overlay(table.rows) == table.rows
+
+
+def test_old_direct_withdrawal_does_not_come_back_from_a_peer():
+    """Guards against undoing a return when a cut-off entry comes back."""
+    item, table = direct_withdrawals()
+    table.replace(6, {'data_centre/dc-a': {'change_id': 'x'}})
+    assert not item.take(b'{"rows": {"data_centre/dc-a": 5}}')
+    assert item.take(b'{"rows": {"data_centre/dc-a": 6}}')
+
+
+@pytest.mark.parametrize(
+    'argument',
+    [None, b'', b'[]', b'{"rows": 3}', b'{"rows": {"service/x": null}}'],
+)
+def test_malformed_direct_withdrawal_is_refused(argument):
+    """Guards against a handler that fails on what a client sends."""
+    item, _ = direct_withdrawals()
+    with pytest.raises(errors.Refusal):
+        item.take(argument)
--- /dev/null
+++ b/tests/prove/test_withdrawal.py
@@ -0,0 +1,188 @@
+"""P3: a withdrawn data centre gets no new work after a few seconds."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+
+import pytest
+
+from standins import deployment
+from tests.prove import operating
+
+LIMIT_S = 4.0
+OBSERVED_S = 5.0
+SHAPE = deployment.Shape(
+    data_centres=('dc-a', 'dc-b'), entries=3, engines=1, plain=0
+)
+
+
+class Trials:
+    """Withdraws dc-a again and again while failures go on."""
+
+    def __init__(self, cluster, traffic, rng):
+        self.cluster = cluster
+        self.traffic = traffic
+        self.rng = rng
+        self.times = []
+
+    async def nothing_fails(self):
+        await self.measured(self.withdraw)
+
+    async def entries_missed_the_news(self):
+        """Entries are paused during the edit and then go on with calls."""
+        paused = self.rng.sample(self.cluster.named('entry-'), 3)
+        await self.with_paused(paused, self.withdraw)
+
+    async def relays_are_frozen(self):
+        """All relays of all data centres are frozen and stay so."""
+        frozen = operating.relays(self.cluster)
+        for item in frozen:
+            item.signal(signal.SIGSTOP)
+        await self.measured(self.withdraw_unannounced)
+        for item in frozen:
+            item.signal(signal.SIGCONT)
+
+    async def watches_are_silent(self):
+        await self.cluster.faults('platform', mute_watches=True)
+        await self.measured(self.withdraw_unannounced)
+        await self.cluster.faults('platform', mute_watches=False)
+
+    async def platform_goes_down_just_after_the_edit(self):
+        await self.cluster.faults('platform', down_after_write=True)
+        await self.measured(self.withdraw)
+        await self.cluster.faults('platform', down=False)
+
+    async def agent_restarts_while_the_platform_is_down(self):
+        """The agent must not take work on a table from before the edit."""
+        paused = self.rng.sample(self.cluster.named('entry-'), 2)
+        for item in paused:
+            item.signal(signal.SIGSTOP)
+
+        async def withdraw_and_restart():
+            version = await self.withdraw()
+            await self.cluster.faults('platform', down=True)
+            await self.cluster.kill('agent-engine-dc-a-0')
+            for item in paused:
+                item.signal(signal.SIGCONT)
+            await self.cluster.restart('agent-engine-dc-a-0')
+            return version
+
+        await self.measured(withdraw_and_restart)
+        await self.cluster.faults('platform', down=False)
+
+    async def another_zone_is_returned_at_the_same_moment(self):
+        await self.set_state('withdraw', 'dc-b')
+        await asyncio.sleep(1.0)
+        others = []
+
+        async def withdraw_and_return():
+            version, other = await asyncio.gather(
+                self.withdraw(), self.set_state('return', 'dc-b', 'ben')
+            )
+            others.append(other)
+            return version
+
+        await self.measured(withdraw_and_return)
+        rows = await self.rows()
+        assert rows['data_centre/dc-a']['state'] == 'withdrawn'
+        assert rows['data_centre/dc-b']['state'] == 'in_service'
+
+    async def with_paused(self, paused, withdraw):
+        """Withdraw while processes are paused; they go on 1 s later."""
+        for item in paused:
+            item.signal(signal.SIGSTOP)
+        version = await withdraw()
+        await asyncio.sleep(1.0)
+        for item in paused:
+            item.signal(signal.SIGCONT)
+
+        async def done():
+            return version
+
+        await self.measured(done)
+
+    async def measured(self, withdraw):
+        """Withdraw and record when the last new call was started."""
+        begin = time.time()
+        version = await withdraw()
+        since = await operating.accepted_at(self.cluster, version)
+        last_before = self.traffic.last_start.get('engine-dc-a-0', 0)
+        assert last_before > begin - 1.0 or since < begin, 'no traffic there'
+        await asyncio.sleep(max(0.0, since + OBSERVED_S - time.time()))
+        last = self.traffic.last_start['engine-dc-a-0']
+        self.times.append(max(0.0, last - since))
+
+    async def back_in_service(self):
+        """Return dc-a and wait until it gets calls again."""
+        await self.set_state('return', 'dc-a')
+        since = time.time()
+        while self.traffic.last_start.get('engine-dc-a-0', 0) < since:
+            assert time.time() < since + 20, 'dc-a gets no calls again'
+            await asyncio.sleep(0.1)
+
+    async def withdraw(self):
+        return await self.set_state('withdraw', 'dc-a')
+
+    async def withdraw_unannounced(self):
+        return await self.cluster.edit_table(
+            {'data_centre/dc-a': {'state': 'withdrawn'}}
+        )
+
+    async def set_state(self, command, data_centre, operator='anna'):
+        code, document = await operating.ctl(
+            self.cluster,
+            command,
+            'data_centre',
+            data_centre,
+            operator=operator,
+        )
+        assert code == 0, document
+        return document['version']
+
+    async def rows(self):
+        found = await self.cluster.get(
+            f'{self.cluster.platform.url}/v1/objects/config/table'
+        )
+        return found['value']['rows']
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_withdrawn_data_centre_gets_no_new_work_after_seconds(
+    run_deployment, record_proof, seed
+):
+    """Guards against calls to a data centre that is being emptied."""
+    print(f'seed {seed}')
+    rng = random.Random(seed)
+
+    async def scenario(cluster):
+        operating.seed_entries(cluster)
+        async with operating.Traffic(cluster) as traffic:
+            trials = Trials(cluster, traffic, rng)
+            order = [
+                trials.nothing_fails,
+                trials.entries_missed_the_news,
+                trials.relays_are_frozen,
+                trials.watches_are_silent,
+                trials.platform_goes_down_just_after_the_edit,
+                trials.agent_restarts_while_the_platform_is_down,
+                trials.another_zone_is_returned_at_the_same_moment,
+            ]
+            rng.shuffle(order)
+            for step in order:
+                await trials.back_in_service()
+                await step()
+                print(f'{step.__name__}: {trials.times[-1]:.2f} s')
+        print(operating.figures(trials.times), dict(traffic.answers))
+        record_proof(
+            'P3',
+            'paused entries, frozen relays, silent watches, platform down '
+            'just after the edit, agent restart, a return at the same moment',
+            seed,
+            operating.figures(trials.times),
+        )
+        assert max(trials.times) <= LIMIT_S
+
+    run_deployment(scenario, SHAPE)
