--- a/src/wagtailhollow/internal/distribution/sync.py
+++ b/src/wagtailhollow/internal/distribution/sync.py
@@ -5,11 +5,11 @@
 import asyncio
 import contextlib
 import json
+from collections.abc import Iterable
 
 from absl import logging
 
 from ... import errors
-from ..observability import metrics
 from ..wire import connection
 from ..wire.gen import ttypes
 from . import document
@@ -30,7 +30,7 @@
         handlers: connection.Handlers,
     ) -> None:
         self._documents = documents
-        self._fetching: set[str] = set()
+        self._fetching: set[tuple[str, str]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         handlers.on_request(ttypes.DocumentFetch)(self._serve_fetch)
         handlers.on_notice(ttypes.DocumentDelta)(self._take_delta)
@@ -53,13 +53,17 @@
             if known is not None and seen.version > known.version:
                 self._start_fetch(conn, seen.name)
 
-    def push(self, conn: connection.PeerConnection, name: str) -> None:
-        """Send the last change of a document to a peer, without a request."""
-        item = self._documents[name]
-        change = item.last_change()
-        if change is not None:
+    def push(
+        self, conns: Iterable[connection.PeerConnection], name: str
+    ) -> None:
+        """Send the last change of a document to peers, without a request."""
+        change = self._documents[name].last_change()
+        if change is None:
+            return
+        message = encode_delta(name, change)
+        for conn in conns:
             with contextlib.suppress(connection.ConnectionLost):
-                conn.post(_delta(name, change))
+                conn.post(message)
 
     async def fetch(self, conn: connection.PeerConnection, name: str) -> None:
         """Bring a document up to the version of the peer."""
@@ -70,9 +74,12 @@
         self._take_delta(conn, reply)
 
     def _start_fetch(self, conn: connection.PeerConnection, name: str) -> None:
-        if name in self._fetching:
+        # One fetch for each peer: a peer that is frozen must not keep the
+        # document from being fetched from another one.
+        fetching = (name, conn.peer.node)
+        if fetching in self._fetching:
             return
-        self._fetching.add(name)
+        self._fetching.add(fetching)
         task = asyncio.create_task(self._fetch_once(conn, name))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -91,7 +98,7 @@
                 'fetch of %s from %s failed: %r', name, conn.peer.node, exc
             )
         finally:
-            self._fetching.discard(name)
+            self._fetching.discard((name, conn.peer.node))
 
     async def _serve_fetch(
         self, conn: connection.PeerConnection, message: ttypes.DocumentFetch
@@ -102,7 +109,9 @@
                 errors.ErrorKind.BAD_REQUEST,
                 f'no document named {message.name!r}',
             )
-        return _delta(message.name, item.changes_since(message.have_version))
+        return encode_delta(
+            message.name, item.changes_since(message.have_version)
+        )
 
     def _take_delta(
         self, conn: connection.PeerConnection, message: ttypes.DocumentDelta
@@ -116,13 +125,12 @@
             json.loads(message.rows),
             tuple(message.removed),
         )
-        if item.apply(change):
-            metrics.document_version.labels(message.name).set(item.version)
-        elif change.to_version > item.version:
+        if not item.apply(change) and change.to_version > item.version:
             self._start_fetch(conn, message.name)
 
 
-def _delta(name: str, change: document.Change) -> ttypes.DocumentDelta:
+def encode_delta(name: str, change: document.Change) -> ttypes.DocumentDelta:
+    """Return *change* as a message."""
     return ttypes.DocumentDelta(
         name,
         change.from_version,
