Add limit methods, budget owner and fair queue at the entry

Every call was admitted. Limits of an organisation are now reserved as a worst case before a call and settled with the tokens of its answer, and calls wait in max-min fair order when the reported caps are reached.

The record of a budget carries a write count and the last 32 nonces: a conditional write whose answer was lost, or which an HTTP client repeated on a new connection, is credited once when a later read shows its nonce, and a give-back is credited again only when it is proven not in effect.

Ruled out: a lease for the owner, because a paused owner acts as if it still had it; write-ahead chunks need none.

--- a/src/wagtailhollow/internal/entry/app.py
+++ b/src/wagtailhollow/internal/entry/app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 import secrets
 import time
 from collections.abc import Awaitable, Callable, Mapping
@@ -23,6 +24,10 @@
 DEFAULT_MAX_TOKENS = 1_024
 MAX_KEY_CHARS = 255
 BYTES_PER_TOKEN_ESTIMATE = 4
+TAIL_BYTES = 1_024
+# Quotes in the text of an answer are escaped in JSON, so the text cannot
+# contain a match.
+_COMPLETION_TOKENS = re.compile(rb'(?<!\\)"completion_tokens"\s*:\s*(\d+)')
 _FORWARDED = ('content-type', 'accept', 'user-agent')
 _REQUEST_ID_HEADER = b'x-request-id'
 
@@ -243,8 +248,11 @@
             self.in_progress -= 1
 
     async def _admitted(self, call: call_module.Call, sink: HttpSink) -> None:
-        async with self._admission.admit(call):
+        async with self._admission.admit(call) as admitted:
             await self._handler.handle(call, sink)
+            prompt_tokens = len(call.body) // BYTES_PER_TOKEN_ESTIMATE
+            if sink.tokens_sent is not None:
+                admitted.used(prompt_tokens + sink.tokens_sent)
 
 
 class _Endpoint:
@@ -284,6 +292,7 @@
         self._first_s: float | None = None
         self._last_s = 0.0
         self._events = 0
+        self._tail = b''
 
     def observe(self, call: call_module.Call) -> None:
         """Measure the answer as that of *call*."""
@@ -319,6 +328,8 @@
         self._last_s = now_s
         if self._is_stream:
             self._events += data.count(b'data:')
+        else:
+            self._tail = (self._tail + data)[-TAIL_BYTES:]
         await self._send(
             {'type': 'http.response.body', 'body': data, 'more_body': True}
         )
@@ -331,9 +342,16 @@
         )
 
     @property
-    def tokens_sent(self) -> int:
-        """Return the number of streamed events, one a token."""
-        return self._events
+    def tokens_sent(self) -> int | None:
+        """Return the tokens of the answer, or None if they are not known.
+
+        A stream has one event a token, one more than that with its end. Any
+        other answer names them in ``usage.completion_tokens``.
+        """
+        if self._is_stream:
+            return self._events
+        found = _COMPLETION_TOKENS.findall(self._tail)
+        return int(found[-1]) if found else None
 
     async def refuse(self, exc: errors.Refusal) -> None:
         """Answer with an error, also when the answer has begun.
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -10,6 +10,7 @@
 from ..claims import claims
 from ..daemon import http, lifecycle
 from ..distribution import document, source, sync
+from ..limits import blocks, comparisons, method, peers
 from ..membership import hosts
 from ..platform import http_store
 from ..routing import (
@@ -29,8 +30,9 @@
 FIRST_REPORTS_WAIT_S = 5.0
 """How long a starting entry waits for a target of each service."""
 
-# The policies register themselves when imported.
+# The policies and limit methods register themselves when imported.
 _POLICIES = (least_reported, power_of_two, prefix_affinity, round_robin)
+_LIMIT_METHODS = (blocks, comparisons)
 
 
 class Entry:
@@ -86,8 +88,28 @@
             claimed,
             cfg.request_limits.max_wait_s,
         )
+        self._entry_peers = peers.EntryPeers(cfg.node, self._peers)
+        self._limits = method.create(
+            cfg.limit_method,
+            method.Context(
+                self._store,
+                self._entry_peers,
+                lambda name: self._view and self._view.organisation(name),
+            ),
+        )
+        if isinstance(self._limits, blocks.OwnerBlocks):
+            duty = self._limits.owner
+            peers.serve(self._handlers, duty.grant, duty.take_back)
+        capacity = admission.ServiceCapacity(
+            self._load_view,
+            lambda: self._view,
+            lambda: len(self._entry_peers.live()),
+        )
+        self._admission = admission.Admission(
+            cfg.request_limits, self._limits, capacity, lambda: self._view
+        )
         self._app = app.CallerApp(
-            cfg, handler, admission.OpenAdmission(), lambda: self._view
+            cfg, handler, self._admission, lambda: self._view
         )
         self._http = http.HttpServer(
             [
@@ -110,6 +132,7 @@
         self._tasks = [
             asyncio.create_task(self._source.follow_table()),
             asyncio.create_task(self._source.follow_hosts()),
+            asyncio.create_task(self._limits.run()),
         ]
 
     async def drain(self) -> None:
@@ -126,6 +149,7 @@
         for task in self._tasks:
             task.cancel()
         await self._http.stop()
+        await self._limits.close()
         await self._server.stop()
         await self._peers.stop()
         await self._store.close()
@@ -171,7 +195,9 @@
         self._entry_count = sum(
             row.role == 'entry' and row.state == 'live' for row in rows
         )
-        self._peers.want(row.address for row in rows if row.role == 'agent')
+        self._entry_peers.set_hosts(rows)
+        agents = [row.address for row in rows if row.role == 'agent']
+        self._peers.want([*agents, *self._entry_peers.addresses()])
 
     def _heard(
         self, conn: connection.PeerConnection, message: ttypes.Heartbeat
@@ -179,6 +205,7 @@
         self._sync.notice_versions(conn, message.documents)
         if message.load is not None:
             self._load_view.take(conn.peer, message.load, message.draining)
+            self._admission.targets_changed(message.load)
 
     def _connection_closed(self, conn: connection.PeerConnection) -> None:
         self._load_view.forget(conn.peer.node)
--- /dev/null
+++ b/src/wagtailhollow/internal/limits/blocks.py
@@ -0,0 +1,323 @@
+"""``owner_blocks``: limits by blocks from the organisation's owner entry."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+
+from ... import errors
+from ..membership import rendezvous
+from ..observability import metrics
+from ..table import model
+from ..wire.gen import ttypes
+from . import method, owner
+
+OWNERS_TRIED = 3
+SUSPECT_S = 3.0
+"""Time for which an owner that did not answer is passed over; by then its
+connection has been closed for silence and it is no longer live."""
+
+REFUSAL_KEPT_S = 0.2
+"""An owner is not asked again for as much within this time."""
+
+PERIOD_S = 0.5
+RENEW_BEFORE_S = 2.0
+IDLE_SLOTS_S = 1.0
+"""Slots without calls go back sooner than their lease ends."""
+
+
+@dataclasses.dataclass
+class _Block:
+    """What this entry holds of the limits of one organisation.
+
+    :ivar day: day of the budget that *tokens* belong to.
+    :ivar slots: calls that may run at the same time, until *slots_until_s*.
+    :ivar wanted_tokens: need of the calls that wait for the owner.
+    :ivar refused: the last refusal, for calls that need at least
+        *refused_tokens*, until *refused_until_s*.
+    """
+
+    tokens: int = 0
+    day: str = ''
+    requests: int = 0
+    until_s: float = 0.0
+    slots: int = 0
+    slots_until_s: float = 0.0
+    running: int = 0
+    waiting: int = 0
+    wanted_tokens: int = 0
+    used_s: float = 0.0
+    refused: errors.Refusal | None = None
+    refused_tokens: int = 0
+    refused_until_s: float = 0.0
+    lock: asyncio.Lock = dataclasses.field(default_factory=asyncio.Lock)
+
+
+class _Held:
+    """Reservation of one call; see :class:`method.Reservation`."""
+
+    def __init__(
+        self, block: _Block | None, tokens: int = 0, day: str = ''
+    ) -> None:
+        self._block = block
+        self._tokens = tokens
+        self._day = day
+
+    def settle(self, used_tokens: int) -> None:
+        """See :meth:`method.Reservation.settle`."""
+        block, self._block = self._block, None
+        if block is None:
+            return
+        block.running -= 1
+        # Tokens left over from yesterday's budget cannot be used today.
+        if self._day == block.day:
+            block.tokens += max(0, self._tokens - used_tokens)
+
+
+@method.limit_method('owner_blocks')
+class OwnerBlocks:
+    """Both sides: this entry's blocks, and its duty as an owner."""
+
+    def __init__(self, context: method.Context) -> None:
+        self._context = context
+        self.owner = owner.BudgetOwner(context)
+        self._blocks: dict[str, _Block] = {}
+        self._suspects: dict[str, float] = {}
+
+    async def reserve(
+        self, organisation: str, tokens: int
+    ) -> method.Reservation:
+        """See :meth:`method.LimitMethod.reserve`."""
+        row = self._context.limits(organisation)
+        if row is None or not (
+            row.requests_per_s or row.max_concurrent or row.tokens_per_day
+        ):
+            return _Held(None)
+        block = self._blocks.setdefault(organisation, _Block())
+        tokens = tokens if row.tokens_per_day else 0
+        if not self._covers(block, row, tokens):
+            await self._wait_for_block(organisation, block, row, tokens)
+        block.running += 1
+        block.tokens -= tokens
+        block.requests -= 1 if row.requests_per_s else 0
+        block.used_s = self._context.clock()
+        return _Held(block, tokens, block.day)
+
+    async def run(self) -> None:
+        """Renew slots, return unused blocks, give back unowned chunks."""
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            for organisation, block in list(self._blocks.items()):
+                await self._tend(organisation, block)
+            await self.owner.give_back_unowned(self.owner_of)
+
+    async def close(self) -> None:
+        """Return all blocks and chunks."""
+        for organisation, block in self._blocks.items():
+            self._return_unused(organisation, block)
+        await self.owner.close()
+
+    def owner_of(self, organisation: str) -> str:
+        """Return the entry that owns the budget, by this entry's view."""
+        return self._owners(organisation)[0]
+
+    def free_tokens(self, organisation: str) -> int:
+        """Return the tokens in this entry's block."""
+        block = self._blocks.get(organisation)
+        return block.tokens if block else 0
+
+    def _owners(self, organisation: str) -> list[str]:
+        now_s = self._context.clock()
+        live = [
+            node
+            for node in self._context.peers.live()
+            if self._suspects.get(node, 0.0) <= now_s
+        ]
+        return rendezvous.winners(
+            f'budget/{organisation}',
+            live or [self._context.peers.node],
+            OWNERS_TRIED,
+        )
+
+    def _covers(
+        self, block: _Block, row: model.Organisation, tokens: int
+    ) -> bool:
+        now_s = self._context.clock()
+        # Blocks of the old day end with their validity, which allows for
+        # clocks that differ a little.
+        if block.day != self._context.day() and now_s >= block.until_s:
+            block.tokens = 0
+        if row.tokens_per_day and block.tokens < tokens:
+            return False
+        if row.requests_per_s and (
+            block.requests < 1 or now_s >= block.until_s
+        ):
+            return False
+        return not row.max_concurrent or (
+            block.running < block.slots and now_s < block.slots_until_s
+        )
+
+    async def _wait_for_block(
+        self,
+        organisation: str,
+        block: _Block,
+        row: model.Organisation,
+        tokens: int,
+    ) -> None:
+        block.waiting += 1
+        block.wanted_tokens += tokens
+        try:
+            async with block.lock:
+                if self._covers(block, row, tokens):
+                    return
+                self._raise_recent_refusal(block, tokens)
+                # First for all that wait, then for this call alone.
+                for tokens_needed, calls in (
+                    (block.wanted_tokens, block.waiting),
+                    (tokens, 1),
+                ):
+                    try:
+                        await self._refill(
+                            organisation, block, row, tokens_needed, calls
+                        )
+                        break
+                    except errors.Refusal as exc:
+                        if tokens_needed <= tokens:
+                            self._keep_refusal(block, exc, tokens)
+                            raise
+                if not self._covers(block, row, tokens):
+                    raise method.concurrency_exceeded(row.max_concurrent)
+        finally:
+            block.waiting -= 1
+            block.wanted_tokens -= tokens
+
+    async def _refill(
+        self,
+        organisation: str,
+        block: _Block,
+        row: model.Organisation,
+        tokens: int,
+        calls: int,
+    ) -> None:
+        asked_s = self._context.clock()
+        has_requests = block.requests >= 1 and asked_s < block.until_s
+        message = ttypes.BlockRequest(
+            organisation,
+            self._context.peers.node,
+            calls if row.requests_per_s and not has_requests else 0,
+            self._missing(block, tokens) if row.tokens_per_day else 0,
+            block.running + calls if row.max_concurrent else 0,
+        )
+        grant = await self._ask(message)
+        self._take(block, row, grant, asked_s)
+
+    def _missing(self, block: _Block, tokens: int) -> int:
+        # A grant for a new day replaces the tokens of the old one.
+        has = block.tokens if block.day == self._context.day() else 0
+        return max(0, tokens - has)
+
+    async def _ask(self, message: ttypes.BlockRequest) -> ttypes.BlockGrant:
+        for node in self._owners(message.organisation):
+            try:
+                if node == self._context.peers.node:
+                    return await self.owner.grant(message)
+                metrics.block_messages.labels('request').inc()
+                return await self._context.peers.request_block(node, message)
+            except method.OwnerUnreachable:
+                self._suspects[node] = self._context.clock() + SUSPECT_S
+        raise errors.Refusal(
+            errors.ErrorKind.LIMIT_EXCEEDED,
+            'no entry that keeps the limits of the organisation answers',
+            retry_after_s=1.0,
+        )
+
+    def _take(
+        self,
+        block: _Block,
+        row: model.Organisation,
+        grant: ttypes.BlockGrant,
+        asked_s: float,
+    ) -> None:
+        # Validity counts from the request: the owner counts from later.
+        until_s = asked_s + grant.valid_for_ms / 1000
+        if grant.tokens:
+            if grant.block_id != block.day:
+                block.tokens = 0
+                block.day = grant.block_id
+            block.tokens += grant.tokens
+        if grant.requests:
+            block.requests = (
+                block.requests if asked_s < block.until_s else 0
+            ) + grant.requests
+        if row.max_concurrent:
+            block.slots = grant.concurrent
+            block.slots_until_s = until_s
+        if grant.tokens or grant.requests:
+            block.until_s = until_s
+        block.refused = None
+
+    def _raise_recent_refusal(self, block: _Block, tokens: int) -> None:
+        if (
+            block.refused is not None
+            and self._context.clock() < block.refused_until_s
+            and tokens >= block.refused_tokens
+        ):
+            raise errors.Refusal(
+                block.refused.kind,
+                block.refused.message,
+                block.refused.retry_after_s,
+            )
+
+    def _keep_refusal(
+        self, block: _Block, exc: errors.Refusal, tokens: int
+    ) -> None:
+        block.refused = exc
+        # Only a lack of tokens depends on the size of the call.
+        is_budget = exc.kind is not errors.ErrorKind.LIMIT_EXCEEDED
+        block.refused_tokens = tokens if is_budget else 0
+        block.refused_until_s = self._context.clock() + REFUSAL_KEPT_S
+
+    async def _tend(self, organisation: str, block: _Block) -> None:
+        row = self._context.limits(organisation)
+        if row is None:
+            return
+        now_s = self._context.clock()
+        if now_s >= block.until_s and not block.waiting:
+            self._return_unused(organisation, block)
+        is_ending = block.slots_until_s - now_s < RENEW_BEFORE_S
+        is_idle = now_s - block.used_s > IDLE_SLOTS_S and not block.running
+        if row.max_concurrent and (
+            (block.running and is_ending) or (block.slots and is_idle)
+        ):
+            with contextlib.suppress(errors.Refusal):
+                await self._renew_slots(organisation, block, row)
+
+    async def _renew_slots(
+        self, organisation: str, block: _Block, row: model.Organisation
+    ) -> None:
+        async with block.lock:
+            asked_s = self._context.clock()
+            message = ttypes.BlockRequest(
+                organisation, self._context.peers.node, 0, 0, block.running
+            )
+            # Calls that start while the owner answers would not be counted.
+            block.slots = min(block.slots, block.running)
+            grant = await self._ask(message)
+            self._take(block, row, grant, asked_s)
+
+    def _return_unused(self, organisation: str, block: _Block) -> None:
+        if not (block.requests or block.tokens):
+            return
+        message = ttypes.BlockReturn(
+            organisation, block.day, block.requests, block.tokens
+        )
+        node = self.owner_of(organisation)
+        if node == self._context.peers.node:
+            self.owner.take_back(message)
+        elif self._context.peers.return_block(node, message):
+            metrics.block_messages.labels('return').inc()
+        else:
+            return
+        block.requests = 0
+        block.tokens = 0
--- /dev/null
+++ b/src/wagtailhollow/internal/limits/buckets.py
@@ -0,0 +1,85 @@
+"""Token bucket and a per-entry share of rate and concurrency."""
+
+from __future__ import annotations
+
+import collections
+
+from . import method
+
+BURST_S = 1.0
+"""A bucket holds at most this many seconds of its rate."""
+
+
+class Bucket:
+    """Token bucket that starts empty.
+
+    A new owner does not know what its predecessor handed out; starting full
+    would let a burst through at each change of the owner.
+    """
+
+    def __init__(self, now_s: float) -> None:
+        self._level = 0.0
+        self._updated_s = now_s
+
+    def refill(self, rate: float, now_s: float) -> None:
+        """Add what *rate* allows since the last refill."""
+        elapsed_s = max(0.0, now_s - self._updated_s)
+        self._updated_s = now_s
+        # A rate below one a second still has to reach one whole request.
+        full = max(1.0, rate * BURST_S)
+        self._level = min(full, self._level + rate * elapsed_s)
+
+    @property
+    def whole(self) -> int:
+        """Return the number of whole requests available."""
+        return int(self._level + 1e-9)
+
+    def take(self, count: int) -> None:
+        """Take *count* requests, which must be available."""
+        self._level -= count
+
+    def put_back(self, count: int) -> None:
+        """Return requests that were not used."""
+        self._level += count
+
+
+class LocalShare:
+    """Rate and concurrency split evenly over the listed entries."""
+
+    def __init__(self, context: method.Context) -> None:
+        self._context = context
+        self._buckets: dict[str, Bucket] = {}
+        self._running: collections.Counter[str] = collections.Counter()
+
+    def enter(self, organisation: str) -> None:
+        """Count one call.
+
+        :raises Refusal: LIMIT_EXCEEDED.
+        """
+        row = self._context.limits(organisation)
+        if row is None:
+            return
+        entries = self._context.peers.listed_count()
+        if row.max_concurrent:
+            share = max(1, row.max_concurrent // entries)
+            if self._running[organisation] >= share:
+                raise method.concurrency_exceeded(row.max_concurrent)
+        if row.requests_per_s:
+            bucket = self._bucket(organisation, row.requests_per_s / entries)
+            if bucket.whole < 1:
+                raise method.rate_exceeded(row.requests_per_s)
+            bucket.take(1)
+        self._running[organisation] += 1
+
+    def leave(self, organisation: str) -> None:
+        """End the count of one call."""
+        self._running[organisation] -= 1
+
+    def _bucket(self, organisation: str, rate: float) -> Bucket:
+        now_s = self._context.clock()
+        bucket = self._buckets.get(organisation)
+        if bucket is None:
+            bucket = self._buckets[organisation] = Bucket(now_s)
+            bucket.put_back(1)
+        bucket.refill(rate, now_s)
+        return bucket
--- /dev/null
+++ b/src/wagtailhollow/internal/limits/owner.py
@@ -0,0 +1,416 @@
+"""The budget owner: reserves chunks at the platform and hands out blocks.
+
+Any entry may act as owner of an organisation at any time. Two owners at once
+each reserve chunks of their own by compare-and-swap, so no lease is needed and
+a paused owner may go on with the chunk that it holds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+
+from absl import logging
+
+from ... import errors
+from ..observability import metrics
+from ..platform import api
+from ..table import model
+from ..wire.gen import ttypes
+from . import buckets, method, record
+
+BLOCK_VALID_S = 5.0
+SLOT_LEASE_S = BLOCK_VALID_S + 1.0
+"""The owner waits longer than the entry uses the slots, for message delay."""
+
+CHUNK_SHARE = 100
+"""A chunk is at most the budget divided by this."""
+
+CHUNK_LEFT_SHARE = 8
+"""A chunk is at most the unreserved rest divided by this, so that chunks
+shrink near the end and little is held by owners that do not need it."""
+
+BLOCK_LEFT_SHARE = 16
+GRANT_WAIT_S = 0.7
+"""Shorter than an entry waits for the owner; the entry gets a reason."""
+
+MAX_CONFLICTS = 8
+MAX_PENDING = 64
+IDLE_GIVE_BACK_S = 2.0
+KEEP_DAYS = 2
+WARNING_SHARE = 0.8
+
+
+@dataclasses.dataclass
+class _Slots:
+    count: int
+    expires_s: float
+
+
+class _Budget:
+    """What this entry holds of one organisation's budget for one day.
+
+    :ivar held: tokens reserved at the platform and not in blocks.
+    :ivar record: the last known record; None when it has to be read.
+    :ivar pending: tokens by nonce of the reservations not known to be in
+        effect; credited once, when a record with the nonce is read.
+    :ivar wanted: tokens that waiting requests need.
+    """
+
+    def __init__(self, organisation: str, day: str, now_s: float) -> None:
+        self.organisation = organisation
+        self.day = day
+        self.key = record.key(organisation, day)
+        self.held = 0
+        self.in_blocks = 0
+        self.record: record.BudgetRecord | None = None
+        self.reserved_seen = 0
+        self.pending: dict[str, int] = {}
+        self.wanted = 0
+        self.top_up: asyncio.Task[None] | None = None
+        self.is_unavailable = False
+        self.is_warned = False
+        self.used_s = now_s
+
+    def learn(self, found: record.BudgetRecord) -> None:
+        """Take over a record and settle writes that are found in it."""
+        if self.record is None or found.version >= self.record.version:
+            self.record = found
+            self.reserved_seen = found.reserved
+        for nonce in set(self.pending) & set(found.recent):
+            self.held += self.pending.pop(nonce)
+
+    def expect(self, nonce: str, tokens: int) -> None:
+        """Note a reservation before it is sent."""
+        self.pending[nonce] = tokens
+        if len(self.pending) > MAX_PENDING:
+            # The dropped one counts as spent.
+            del self.pending[next(iter(self.pending))]
+
+
+class BudgetOwner:
+    """Grants blocks to entries."""
+
+    def __init__(self, context: method.Context) -> None:
+        self._context = context
+        self._budgets: dict[str, _Budget] = {}
+        self._buckets: dict[str, buckets.Bucket] = {}
+        self._slots: dict[str, dict[str, _Slots]] = {}
+        self._view: tuple[str, ...] = ()
+        self._view_changed_s = context.clock()
+
+    async def grant(self, message: ttypes.BlockRequest) -> ttypes.BlockGrant:
+        """Answer a block request.
+
+        ``requests`` and ``tokens`` are what the entry needs now and 0 if it
+        needs none; ``concurrent`` is the number of slots it wants in total.
+
+        :raises Refusal: one of the three cannot be granted at all.
+        """
+        row = self._context.limits(message.organisation)
+        if row is None:
+            raise errors.Refusal(
+                errors.ErrorKind.FORBIDDEN,
+                f'no organisation is named {message.organisation!r}',
+            )
+        self._notice_view()
+        slots = self._grant_slots(message, row)
+        requests = self._grant_requests(message, row)
+        try:
+            block_id, tokens = await self._grant_tokens(message, row)
+        except errors.Refusal:
+            if requests:
+                self._bucket(message.organisation, row).put_back(requests)
+            raise
+        return ttypes.BlockGrant(
+            message.organisation,
+            requests,
+            tokens,
+            slots,
+            int(BLOCK_VALID_S * 1000),
+            None,
+            block_id,
+        )
+
+    def take_back(self, message: ttypes.BlockReturn) -> None:
+        """Take unused parts of a block, whichever entry granted it."""
+        row = self._context.limits(message.organisation)
+        if row is None:
+            return
+        if message.requests > 0 and row.requests_per_s:
+            bucket = self._bucket(message.organisation, row)
+            bucket.put_back(message.requests)
+        if message.tokens > 0 and message.block_id == self._context.day():
+            budget = self._budget(message.organisation)
+            budget.held += message.tokens
+            budget.in_blocks = max(0, budget.in_blocks - message.tokens)
+
+    async def give_back_unowned(self, owner_of) -> None:
+        """Give chunks back of which another entry is the owner now."""
+        now_s = self._context.clock()
+        for budget in list(self._budgets.values()):
+            if budget.day != self._context.day():
+                self._budgets.pop(budget.organisation, None)
+            elif (
+                budget.held
+                and now_s - budget.used_s >= IDLE_GIVE_BACK_S
+                and owner_of(budget.organisation) != self._context.peers.node
+            ):
+                await self._give_back(budget)
+
+    async def close(self) -> None:
+        """Give all chunks back; what fails stays counted as spent."""
+        for budget in list(self._budgets.values()):
+            if budget.held:
+                await self._give_back(budget)
+
+    def held(self, organisation: str) -> int:
+        """Return the tokens held for *organisation* and not in blocks."""
+        budget = self._budgets.get(organisation)
+        return budget.held if budget else 0
+
+    def _notice_view(self) -> None:
+        view = tuple(sorted(self._context.peers.live()))
+        if view != self._view:
+            self._view = view
+            self._view_changed_s = self._context.clock()
+
+    def _share(self) -> float:
+        """Return the part of rate and concurrency that this owner may use.
+
+        Owners whose live lists do not overlap hand out no more than the
+        limit together, without the platform.
+        """
+        listed = max(self._context.peers.listed_count(), len(self._view))
+        return len(self._view) / listed
+
+    def _grant_slots(
+        self, message: ttypes.BlockRequest, row: model.Organisation
+    ) -> int:
+        if not row.max_concurrent:
+            return 0
+        now_s = self._context.clock()
+        held = self._slots.setdefault(message.organisation, {})
+        others = sum(
+            item.count
+            for entry, item in held.items()
+            if entry != message.entry and item.expires_s > now_s
+        )
+        limit = max(1, int(row.max_concurrent * self._share()))
+        allowed = max(0, limit - others)
+        spare = max(0, allowed - message.concurrent)
+        slots = message.concurrent
+        if message.concurrent:
+            slots += spare // (2 * len(self._view))
+        slots = min(slots, allowed)
+        if now_s - self._view_changed_s < SLOT_LEASE_S:
+            # Slots that a previous owner granted may still be in use.
+            slots = min(slots, max(1, limit // len(self._view)))
+        held[message.entry] = _Slots(slots, now_s + SLOT_LEASE_S)
+        if message.concurrent and not slots:
+            raise method.concurrency_exceeded(row.max_concurrent)
+        return slots
+
+    def _grant_requests(
+        self, message: ttypes.BlockRequest, row: model.Organisation
+    ) -> int:
+        if not row.requests_per_s or not message.requests:
+            return 0
+        bucket = self._bucket(message.organisation, row)
+        spare = max(0, bucket.whole - message.requests)
+        extra = spare // (2 * len(self._view))
+        granted = min(bucket.whole, message.requests + extra)
+        if granted < 1:
+            raise method.rate_exceeded(row.requests_per_s)
+        bucket.take(granted)
+        return granted
+
+    def _bucket(
+        self, organisation: str, row: model.Organisation
+    ) -> buckets.Bucket:
+        now_s = self._context.clock()
+        bucket = self._buckets.get(organisation)
+        if bucket is None:
+            bucket = self._buckets[organisation] = buckets.Bucket(now_s)
+            # The first call of an organisation is not refused.
+            bucket.put_back(1)
+        bucket.refill(row.requests_per_s * self._share(), now_s)
+        return bucket
+
+    async def _grant_tokens(
+        self, message: ttypes.BlockRequest, row: model.Organisation
+    ) -> tuple[str, int]:
+        need = message.tokens
+        if not row.tokens_per_day or need <= 0:
+            return '', 0
+        budget = self._budget(message.organisation)
+        budget.used_s = self._context.clock()
+        if budget.held < need:
+            await self._wait_for_tokens(budget, need)
+        if budget.held < need:
+            raise self._refusal(budget, need)
+        left = budget.held + max(0, row.tokens_per_day - budget.reserved_seen)
+        entries = max(1, len(self._view))
+        extra = min(
+            4 * need,
+            (budget.held - need) // (2 * entries),
+            left // (BLOCK_LEFT_SHARE * entries),
+        )
+        granted = need + max(0, extra)
+        budget.held -= granted
+        budget.in_blocks += granted
+        self._report(budget, row)
+        return budget.day, granted
+
+    async def _wait_for_tokens(self, budget: _Budget, need: int) -> None:
+        budget.wanted += need
+        try:
+            async with asyncio.timeout(GRANT_WAIT_S):
+                # One top-up serves all requests that wait for it. A second
+                # round helps those that came while it was being written.
+                for _ in range(2):
+                    if budget.top_up is None:
+                        budget.top_up = asyncio.create_task(
+                            self._top_up(budget, need)
+                        )
+                    await asyncio.shield(budget.top_up)
+                    if budget.held >= need:
+                        return
+        except TimeoutError:
+            budget.is_unavailable = True
+        finally:
+            budget.wanted -= need
+
+    async def _top_up(self, budget: _Budget, need: int) -> None:
+        try:
+            for _ in range(MAX_CONFLICTS):
+                if await self._reserve(budget, need):
+                    budget.is_unavailable = False
+                    return
+        except api.PlatformUnavailable as exc:
+            budget.is_unavailable = True
+            # The write may still be on its way; read before the next one.
+            budget.record = None
+            logging.warning('budget of %s: %s', budget.organisation, exc)
+        finally:
+            budget.top_up = None
+
+    async def _reserve(self, budget: _Budget, need: int) -> bool:
+        """Try to reserve one chunk; return False after a conflict."""
+        if budget.record is None:
+            found = await record.read(self._context.store, budget.key)
+            budget.learn(found)
+            if found.version == api.ABSENT:
+                await self._delete_old(budget)
+        base = budget.record
+        row = self._context.limits(budget.organisation)
+        total = row.tokens_per_day if row else 0
+        left = total - base.reserved
+        # Enough for all that wait, but the first of them comes before them.
+        short = max(0, need - budget.held)
+        wanted = max(short, budget.wanted - budget.held)
+        chunk = min(total // CHUNK_SHARE, left // CHUNK_LEFT_SHARE)
+        amount = min(left, max(wanted, chunk))
+        if amount < short or amount <= 0:
+            # Refused only after a read: another owner may have given back.
+            if base.version == api.ABSENT:
+                return True
+            return await self._is_current(budget)
+        nonce = record.new_nonce()
+        budget.expect(nonce, amount)
+        try:
+            found = await record.write(
+                self._context.store, budget.key, base, amount, nonce
+            )
+        except api.Conflict:
+            budget.record = None
+            return False
+        budget.learn(found)
+        return True
+
+    async def _is_current(self, budget: _Budget) -> bool:
+        base = budget.record
+        found = await record.read(self._context.store, budget.key)
+        budget.learn(found)
+        return found.version == base.version
+
+    async def _delete_old(self, budget: _Budget) -> None:
+        """Delete the record that is out of use, once a day."""
+        today = datetime.date.fromisoformat(budget.day)
+        old = today - datetime.timedelta(days=KEEP_DAYS)
+        old_key = record.key(budget.organisation, old.isoformat())
+        try:
+            found = await self._context.store.get(old_key)
+            if found is not None:
+                await self._context.store.delete(old_key, found.version)
+        except (api.Conflict, api.PlatformUnavailable) as exc:
+            logging.info('%s was not deleted: %r', old_key, exc)
+
+    async def _give_back(self, budget: _Budget) -> None:
+        """Lower the high-water mark by the tokens held here."""
+        if budget.top_up is not None:
+            return
+        amount = 0
+        try:
+            for _ in range(MAX_CONFLICTS):
+                base = await record.read(self._context.store, budget.key)
+                budget.learn(base)
+                # Out of use before the write, which may take effect unseen.
+                amount, budget.held = budget.held, 0
+                nonce = record.new_nonce()
+                try:
+                    found = await record.write(
+                        self._context.store, budget.key, base, -amount, nonce
+                    )
+                    budget.learn(found)
+                    return
+                except api.Conflict:
+                    found = await record.read(self._context.store, budget.key)
+                    budget.learn(found)
+                    if not found.excludes(nonce, base):
+                        return
+                    budget.held += amount
+                    amount = 0
+        except api.PlatformUnavailable as exc:
+            budget.record = None
+            logging.warning(
+                'chunk not given back, %d tokens of %s count as spent: %s',
+                amount,
+                budget.organisation,
+                exc,
+            )
+
+    def _refusal(self, budget: _Budget, need: int) -> errors.Refusal:
+        if budget.is_unavailable:
+            return method.platform_unavailable()
+        # Blocks that other entries do not use up come back.
+        retry_after_s = (
+            BLOCK_VALID_S
+            if budget.in_blocks + budget.held >= need
+            else self._context.seconds_to_next_day()
+        )
+        return method.budget_exhausted(need, retry_after_s)
+
+    def _report(self, budget: _Budget, row: model.Organisation) -> None:
+        used = budget.reserved_seen - budget.held
+        share = used / row.tokens_per_day
+        metrics.budget_used_share.labels(budget.organisation).set(share)
+        if share >= WARNING_SHARE and not budget.is_warned:
+            budget.is_warned = True
+            metrics.budget_warnings.labels(budget.organisation).inc()
+            logging.warning(
+                'organisation %s has used %.0f%% of its %d tokens for %s',
+                budget.organisation,
+                share * 100,
+                row.tokens_per_day,
+                budget.day,
+            )
+
+    def _budget(self, organisation: str) -> _Budget:
+        day = self._context.day()
+        budget = self._budgets.get(organisation)
+        if budget is None or budget.day != day:
+            budget = _Budget(organisation, day, self._context.clock())
+            self._budgets[organisation] = budget
+        return budget
--- a/src/wagtailhollow/internal/observability/metrics.py
+++ b/src/wagtailhollow/internal/observability/metrics.py
@@ -81,6 +81,21 @@
     'Share of the daily budget reserved, as known to its owner.',
     ('organisation',),
 )
+budget_warnings = prometheus_client.Counter(
+    'wagtailhollow_budget_warnings',
+    'Times an organisation passed 80% of its daily budget, by its owner.',
+    ('organisation',),
+)
+block_messages = prometheus_client.Counter(
+    'wagtailhollow_block_messages',
+    'Messages of this entry to owners of limits: request or return.',
+    ('message',),
+)
+waiting_calls = prometheus_client.Gauge(
+    'wagtailhollow_waiting_calls',
+    'Calls that wait for a target.',
+    ('service',),
+)
 claim_outcomes = prometheus_client.Counter(
     'wagtailhollow_claim_outcomes',
     'Claimed calls by outcome: done, not_run, unknown, in_progress.',
