--- a/src/wagtailhollow/internal/entry/app.py
+++ b/src/wagtailhollow/internal/entry/app.py
@@ -293,6 +293,7 @@
         self._last_s = 0.0
         self._events = 0
         self._tail = b''
+        self._status = 0
 
     def observe(self, call: call_module.Call) -> None:
         """Measure the answer as that of *call*."""
@@ -304,6 +305,7 @@
 
     async def start(self, status: int, headers: Mapping[str, str]) -> None:
         """See :class:`call.AnswerSink`."""
+        self._status = status
         self._is_stream = 'event-stream' in headers.get('content-type', '')
         rows = [
             (name.lower().encode('latin-1'), value.encode('latin-1'))
@@ -350,6 +352,8 @@
         """
         if self._is_stream:
             return self._events
+        if self._status >= 400:
+            return 0
         found = _COMPLETION_TOKENS.findall(self._tail)
         return int(found[-1]) if found else None
 
--- /dev/null
+++ b/tests/cover/test_admission.py
@@ -0,0 +1,207 @@
+"""The fair queue at the entry."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from wagtailhollow import errors
+from wagtailhollow.internal.entry import admission, call
+from wagtailhollow.internal.limits import fair_share
+from wagtailhollow.internal.routing import load_view
+from wagtailhollow.internal.settings import schema
+from wagtailhollow.internal.table import model, queries
+from wagtailhollow.internal.wire import auth
+from wagtailhollow.internal.wire.gen import ttypes
+
+ROWS = {
+    'service/reports': {'models': ['m']},
+    'organisation/large': {'weight': 2.0},
+    'organisation/small': {'weight': 1.0},
+}
+
+
+class NoLimits:
+    """Records what was settled."""
+
+    def __init__(self):
+        self.settled = []
+
+    async def reserve(self, organisation, tokens):
+        return self
+
+    def settle(self, used_tokens):
+        self.settled.append(used_tokens)
+
+
+class Bench:
+    """An admission in front of one target."""
+
+    def __init__(self, cap=2, entries=1, **limits):
+        self.view = load_view.LoadView()
+        table = queries.TableView(model.Table(1, ROWS))
+        self.capacity = admission.ServiceCapacity(
+            self.view, lambda: table, lambda: entries
+        )
+        self.limits = NoLimits()
+        self.admission = admission.Admission(
+            schema.RequestLimits(**limits),
+            self.limits,
+            self.capacity,
+            lambda: table,
+        )
+        self.report(cap)
+
+    def report(self, cap, running=0):
+        load = ttypes.TargetLoad(
+            't', 'reports', ttypes.TargetState.IN_SERVICE, running, 0, cap
+        )
+        agent = auth.Identity('agent', ttypes.Role.AGENT, 'dc', 'd', 1)
+        self.view.take(agent, load, False)
+        self.admission.targets_changed(load)
+
+    def call(self, organisation='small', tokens=100, queue_limit=512):
+        return call.Call(
+            'id', organisation, 'reports',
+            model.Service(queue_limit=queue_limit), 'POST', '/', {}, b'',
+            None, False, tokens, '', time.monotonic() + 10,
+        )  # fmt: skip
+
+    async def run(self, served, organisation, hold_s=0.005, **kwargs):
+        item = self.call(organisation, **kwargs)
+        async with self.admission.admit(item) as admitted:
+            self.view.started('t')
+            served.append(organisation)
+            await asyncio.sleep(hold_s)
+            self.view.finished('t')
+            admitted.used(10)
+
+
+def test_waiting_calls_are_served_by_weight_and_not_by_arrival():
+    """Guards against one organisation's burst delaying all others."""
+
+    async def scenario():
+        bench = Bench(cap=3)
+        served = []
+        await asyncio.gather(
+            *(bench.run(served, 'large') for _ in range(30)),
+            *(bench.run(served, 'small') for _ in range(15)),
+        )
+        return served
+
+    served = asyncio.run(scenario())
+    assert len(served) == 45
+    assert 8 <= served[3:33].count('small') <= 12
+
+
+def test_flooding_organisation_gives_way_when_the_queue_is_full():
+    """Guards against refusals for those that are below their share."""
+
+    async def scenario():
+        bench = Bench(cap=1, max_waiting_calls=10)
+        served = []
+        flood = [
+            asyncio.create_task(bench.run(served, 'large')) for _ in range(40)
+        ]
+        await asyncio.sleep(0)
+        await asyncio.gather(*(bench.run(served, 'small') for _ in range(3)))
+        return await asyncio.gather(*flood, return_exceptions=True)
+
+    refused = [item for item in asyncio.run(scenario()) if item]
+    assert len(refused) == 32
+    assert all(
+        item.kind is errors.ErrorKind.OVERLOADED and item.retry_after_s >= 1
+        for item in refused
+    )
+
+
+def test_wait_is_bounded_and_leaves_nothing_behind():
+    """Guards against calls that wait for ever and places that leak."""
+
+    async def scenario():
+        bench = Bench(cap=1, max_wait_s=0.05)
+        served = []
+        first = asyncio.create_task(bench.run(served, 'small', 0.2))
+        await asyncio.sleep(0)
+        start_s = time.monotonic()
+        with pytest.raises(errors.Refusal) as caught:
+            await bench.run(served, 'large')
+        waited_s = time.monotonic() - start_s
+        cancelled = asyncio.create_task(bench.run(served, 'large'))
+        await asyncio.sleep(0.01)
+        cancelled.cancel()
+        await first
+        await bench.run(served, 'large')
+        return caught.value, waited_s, served, bench.limits.settled
+
+    refusal, waited_s, served, settled = asyncio.run(scenario())
+    assert refusal.answer.execution is errors.Execution.NOT_RUN
+    assert waited_s < 0.2
+    assert served == ['small', 'large']
+    assert sorted(settled) == [0, 0, 10, 10]
+
+
+def test_places_follow_the_reported_caps_and_the_other_entries():
+    """Guards against sending a target more than its cap allows."""
+    bench = Bench(cap=4)
+    assert bench.capacity.limit('reports') == 4
+    bench.report(cap=8, running=5)
+    assert bench.capacity.limit('reports') == 3
+    bench.view.started('t')
+    assert bench.capacity.limit('reports') == 3
+    bench.report(cap=8, running=6)
+    bench.view.finished('t')
+    assert bench.capacity.limit('reports') == 3
+    assert bench.capacity.limit('unknown') is None
+    shared = Bench(cap=12, entries=3)
+    assert shared.capacity.limit('reports') == 4 + 8 // 3
+
+
+@pytest.mark.parametrize(
+    ('kind', 'cost'),
+    [
+        (errors.ErrorKind.TARGET_FULL, 0),
+        (errors.ErrorKind.ANSWER_INCOMPLETE, 100),
+    ],
+)
+def test_failed_call_costs_nothing_only_if_it_did_not_run(kind, cost):
+    """Guards against overspend by answers that were cut."""
+
+    async def scenario():
+        bench = Bench()
+        with pytest.raises(errors.Refusal):
+            async with bench.admission.admit(bench.call()):
+                raise errors.Refusal(kind, 'test')
+        return bench.limits.settled
+
+    assert asyncio.run(scenario()) == [cost]
+
+
+def test_call_above_the_size_allowed_is_refused_for_good():
+    """Guards against advice to retry what can never be admitted."""
+
+    async def scenario():
+        bench = Bench()
+        with pytest.raises(errors.Refusal) as caught:
+            async with bench.admission.admit(bench.call(tokens=5_000)):
+                pass
+        return caught.value
+
+    refusal = asyncio.run(scenario())
+    assert refusal.answer.retry is errors.Retry.NO
+
+
+def test_place_goes_to_the_least_served_for_its_weight():
+    """Guards against an order by arrival or by name."""
+    weights = {'a': 1.0, 'b': 3.0}
+    queue = fair_share.FairQueue(weights.get)
+    for name in 'aaabbb':
+        queue.push(name, name)
+    order = []
+    while len(queue):
+        name, _ = queue.pop_next()
+        queue.enter(name)
+        order.append(name)
+    assert order[:4].count('b') == 3
