Test that a chunk given back is not used again

The property test did not find a give-back that was credited again after a conflict with its own repeated write (a mutation that always credits it passed); this test fails with that mutation.

--- a/tests/cover/test_limits.py
+++ b/tests/cover/test_limits.py
@@ -228,3 +228,28 @@
     """Guards against an entry that starts without limits."""
     with pytest.raises(ValueError, match='owner_blocks'):
         method.create('unlimited', None)
+
+
+@pytest.mark.parametrize('is_repeated', [False, True])
+def test_chunk_given_back_with_a_lost_answer_is_not_used_again(is_repeated):
+    """Guards against tokens that are both given back and spent.
+
+    An HTTP client that repeats a write sees a conflict with its own write.
+    """
+
+    async def scenario():
+        net = network(model.Organisation(tokens_per_day=10_000))
+        net.start()
+        entry = net.entries['entry-a']
+        held = await entry.reserve('council', 10)
+        owner = net.entries[entry.owner_of('council')]
+        before = net.reserved('council'), owner.owner.held('council')
+        net.store.lose_answers = 1
+        net.store.repeat_lost_writes = is_repeated
+        await owner.owner.close()
+        held.settle(10)
+        return before, net.reserved('council'), owner.owner.held('council')
+
+    (reserved, held), after, still_held = memory_platform.run_fast(scenario)
+    assert held > 0
+    assert (after, still_held) == (reserved - held, 0)
