Count only targets that the table lets calls go to as capacity

Targets with weight 0 get no calls from the routing, so their caps must not let calls past the queue.

--- a/src/wagtailhollow/internal/entry/admission.py
+++ b/src/wagtailhollow/internal/entry/admission.py
@@ -44,8 +44,8 @@
         self._table_view = table_view
         self._entry_count = entry_count
         self._others: dict[str, int] = {}
-        self._withdrawn: dict[tuple[str, str], bool] = {}
-        self._withdrawn_version = -1
+        self._open: dict[tuple[str, str, str], bool] = {}
+        self._open_version = -1
 
     def note_report(self, load: ttypes.TargetLoad) -> None:
         """Note a report that arrived now."""
@@ -66,7 +66,9 @@
                 load.service_name != service_name
                 or load.state != ttypes.TargetState.IN_SERVICE
                 or report.draining
-                or self._is_withdrawn(report.agent.data_centre, load.target)
+                or not self._is_open(
+                    service_name, report.agent.data_centre, load.target
+                )
             ):
                 continue
             is_known = True
@@ -81,17 +83,32 @@
         below_share = min(free, max(0, caps // entries - own))
         return own + below_share + (free - below_share) // entries
 
-    def _is_withdrawn(self, data_centre: str, target: str) -> bool:
+    def _is_open(
+        self, service_name: str, data_centre: str, target: str
+    ) -> bool:
+        """Return whether the table lets new calls go to the target."""
         # Kept for each version: reading rows for every target of every call
         # would cost more than the rest of the admission.
         table = self._table_view()
-        if table.version != self._withdrawn_version:
-            self._withdrawn_version = table.version
-            self._withdrawn.clear()
-        key = (data_centre, target)
-        if key not in self._withdrawn:
-            self._withdrawn[key] = table.is_withdrawn(*key)
-        return self._withdrawn[key]
+        if table.version != self._open_version:
+            self._open_version = table.version
+            self._open.clear()
+        key = (service_name, data_centre, target)
+        if key not in self._open:
+            self._open[key] = _is_open(table, *key)
+        return self._open[key]
+
+
+def _is_open(
+    table: queries.TableView, service_name: str, data_centre: str, target: str
+) -> bool:
+    service = table.service(service_name)
+    weight = service.data_centre_weights.get(
+        data_centre, table.data_centre(data_centre).weight
+    )
+    return weight * table.target(target).weight > 0 and not table.is_withdrawn(
+        data_centre, target
+    )
 
 
 @dataclasses.dataclass(eq=False)
--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -56,8 +56,9 @@
 
     def report(self, cap, running=0):
         load = ttypes.TargetLoad(
-            't', 'reports', ttypes.TargetState.IN_SERVICE, running, 0, cap
-        )
+            't', 'reports', ttypes.TargetState.IN_SERVICE, running, 0, cap,
+            report_age_ms=0,
+        )  # fmt: skip
         agent = auth.Identity('agent', ttypes.Role.AGENT, 'dc', 'd', 1)
         self.view.take(agent, load, False)
         self.admission.targets_changed(load)
