--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -11,6 +11,7 @@
 from ..claims import claims
 from ..daemon import http, lifecycle
 from ..distribution import document, overrides, source, start, sync
+from ..limits import blocks, comparisons, method, peers
 from ..membership import hosts, relays, subset
 from ..observability import metrics
 from ..operators import served
@@ -35,8 +36,9 @@
 FIRST_REPORTS_WAIT_S = 5.0
 """How long a starting entry waits for a target of each service."""
 
-# The policies register themselves when imported.
+# The policies and limit methods register themselves when imported.
 _POLICIES = (least_reported, power_of_two, prefix_affinity, round_robin)
+_LIMIT_METHODS = (blocks, comparisons)
 
 
 class Entry:
@@ -105,8 +107,30 @@
             claimed,
             cfg.request_limits.max_wait_s,
         )
+        self._entry_peers = peers.EntryPeers(
+            cfg.node, cfg.data_centre, self._peers
+        )
+        self._limits = method.create(
+            cfg.limit_method,
+            method.Context(
+                self._store,
+                self._entry_peers,
+                lambda name: self._view and self._view.organisation(name),
+            ),
+        )
+        if isinstance(self._limits, blocks.OwnerBlocks):
+            duty = self._limits.owner
+            peers.serve(self._handlers, duty.grant, duty.take_back)
+        capacity = admission.ServiceCapacity(
+            self._load_view,
+            lambda: self._view,
+            lambda: self._sharing,
+        )
+        self._admission = admission.Admission(
+            cfg.request_limits, self._limits, capacity, lambda: self._view
+        )
         self._app = app.CallerApp(
-            cfg, handler, admission.OpenAdmission(), lambda: self._view
+            cfg, handler, self._admission, lambda: self._view
         )
         self._http = http.HttpServer(
             [
@@ -132,6 +156,7 @@
             lifecycle.background(self._keep_peers()),
             lifecycle.background(self._source.follow_table()),
             lifecycle.background(self._source.follow_hosts()),
+            lifecycle.background(self._limits.run()),
         ]
 
     async def drain(self) -> None:
@@ -148,6 +173,7 @@
         for task in self._tasks:
             task.cancel()
         await self._http.stop()
+        await self._limits.close()
         await self._server.stop()
         await self._peers.stop()
         await self._store.close()
@@ -205,6 +231,7 @@
                 self._cfg.node, self._cfg.data_centre, rows
             )
         ]
+        self._entry_peers.set_hosts(rows)
         self._sharing = _entries_at_one_target(rows, len(self._agents))
         self._want_peers()
         self._push(self._hosts.name)
@@ -232,7 +259,12 @@
         is_started = self._table_start.is_confirmed and self._hosts.version
         seeds = () if is_started else self._cfg.seed_peers
         self._peers.want(
-            [*self._agents, *self._duty.wanted_addresses(), *seeds]
+            [
+                *self._agents,
+                *self._duty.wanted_addresses(),
+                *self._entry_peers.addresses(),
+                *seeds,
+            ]
         )
 
     async def _keep_peers(self) -> None:
@@ -259,6 +291,7 @@
         self._table_start.heard(conn.peer.node, message.documents)
         if message.load is not None:
             self._load_view.take(conn.peer, message.load, message.draining)
+            self._admission.targets_changed(message.load)
 
     def _connection_opened(self, conn: connection.PeerConnection) -> None:
         if conn.peer.role == ttypes.Role.ENTRY:
