Specify the map switch for the model checker

Cause: the switch must be shown to be safe for every order of loss, delay, restart and stale leaders, which tests with processes cannot do.

No step has two maps, and from each state the group can be released.

--- /dev/null
+++ b/tests/nocover/test_map_switch_proof.py
@@ -0,0 +1,31 @@
+"""The specification of the map switch, checked exhaustively."""
+
+from __future__ import annotations
+
+import minicheck
+import pytest
+
+from proof import map_switch
+
+
+@pytest.mark.parametrize('variant', map_switch.CHECKED, ids=str)
+def test_no_step_has_two_maps(variant):
+    # Guards against a protocol that mixes maps in some order of events.
+    found = map_switch.check(variant)
+    assert found['exhaustive']
+    assert found['holds'] is True
+
+
+@pytest.mark.parametrize('variant', map_switch.LIVE, ids=str)
+def test_a_held_group_can_always_be_released(variant):
+    # Guards against a state from which no message releases the group.
+    found = minicheck.check_liveness(map_switch.protocol(variant))
+    assert found['holds'] is True
+
+
+@pytest.mark.parametrize('variant', map_switch.NAIVE, ids=str)
+def test_the_naive_variant_is_refuted(variant):
+    # Guards against a specification too weak to show the known faults.
+    found = map_switch.check(variant)
+    assert found['holds'] is False
+    assert found['counterexample']
