--- a/src/wagtailhollow/internal/agent/backends/model_engine.py
+++ b/src/wagtailhollow/internal/agent/backends/model_engine.py
@@ -12,8 +12,12 @@
 
 import aiohttp
 
+from ...experts import engine as expert_engine
 from . import http_call, registry
 
+HOLD_TIMEOUT_S = 0.6
+"""Below the time-out of an order between agents."""
+
 
 @registry.backend('model_engine')
 class ModelEngine:
@@ -76,10 +80,83 @@
             cached_prefixes=int(row.get('cached_prefixes', -1)),
         )
 
+    async def map_state(self) -> expert_engine.EngineMapState:
+        """See :meth:`expert_engine.EngineOrders.map_state`."""
+        return _map_state(await self._map_call('GET', '/map'))
+
+    async def expert_load(self) -> expert_engine.EngineExpertLoad:
+        """See :meth:`expert_engine.EngineOrders.expert_load`."""
+        row = await self._map_call('GET', '/experts')
+        return expert_engine.EngineExpertLoad(
+            tuple(tuple(layer) for layer in row['layers']),
+            float(row['busy_s']),
+        )
+
+    async def current_map(self) -> list[list[list[int]]]:
+        """See :meth:`expert_engine.EngineOrders.current_map`."""
+        return (await self._map_call('GET', '/map/placement'))['placement']
+
+    async def stage_map(
+        self, epoch: int, placement: bytes, fencing: int
+    ) -> None:
+        """See :meth:`expert_engine.EngineOrders.stage_map`."""
+        await self._map_call(
+            'POST',
+            f'/map/stage?epoch={epoch}&fencing={fencing}',
+            placement,
+        )
+
+    async def hold(self, fencing: int) -> expert_engine.EngineMapState:
+        """See :meth:`expert_engine.EngineOrders.hold`."""
+        path = f'/map/hold?fencing={fencing}'
+        return _map_state(await self._map_call('POST', path))
+
+    async def activate(
+        self, epoch: int, fencing: int
+    ) -> expert_engine.EngineMapState:
+        """See :meth:`expert_engine.EngineOrders.activate`."""
+        path = f'/map/activate?epoch={epoch}&fencing={fencing}'
+        return _map_state(await self._map_call('POST', path))
+
+    async def release(
+        self, epoch: int, fencing: int
+    ) -> expert_engine.EngineMapState:
+        """See :meth:`expert_engine.EngineOrders.release`."""
+        path = f'/map/release?epoch={epoch}&fencing={fencing}'
+        return _map_state(await self._map_call('POST', path))
+
     async def close(self) -> None:
         """See :meth:`registry.Backend.close`."""
         await self._http.close()
 
+    async def _map_call(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> dict:
+        try:
+            async with self._http.session().request(
+                method,
+                self._url + path,
+                data=body,
+                timeout=aiohttp.ClientTimeout(total=HOLD_TIMEOUT_S),
+            ) as resp:
+                if resp.status != 200:
+                    raise expert_engine.EngineRefused(
+                        f'{path}: status {resp.status}'
+                    )
+                return await resp.json()
+        except (TimeoutError, aiohttp.ClientError, OSError) as exc:
+            raise expert_engine.EngineRefused(f'{path}: {exc!r}') from exc
+
+
+def _map_state(row: dict) -> expert_engine.EngineMapState:
+    return expert_engine.EngineMapState(
+        int(row['epoch']),
+        tuple(row['staged']),
+        bool(row['held']),
+        int(row['step']),
+        int(row.get('fencing', 0)),
+    )
+
 
 def _of_call(
     answer: registry.BackendAnswer, call_id: str
--- a/src/wagtailhollow/internal/agent/compose.py
+++ b/src/wagtailhollow/internal/agent/compose.py
@@ -10,10 +10,12 @@
 from ... import errors
 from ..daemon import http, lifecycle
 from ..distribution import document, sync
+from ..experts import group as expert_group
+from ..membership import hosts
 from ..platform import http_store
 from ..settings import schema
 from ..table import model, queries
-from ..wire import auth, connection, server
+from ..wire import auth, connection, pool, server
 from ..wire.gen import ttypes
 from . import calls, gate, ledger, ramp, watcher
 from .backends import model_engine, plain_service, registry
@@ -36,9 +38,12 @@
         self._table.on_change(self._table_changed)
         self._view: queries.TableView | None = None
         self._handlers = connection.Handlers()
-        self._sync = sync.DocumentSync(
-            {self._table.name: self._table}, self._handlers
-        )
+        # Only an agent of a group needs the host list, to find its peers.
+        self._hosts = document.VersionedDocument(hosts.HOSTS_DOCUMENT)
+        documents = {self._table.name: self._table}
+        if cfg.group is not None:
+            documents[self._hosts.name] = self._hosts
+        self._sync = sync.DocumentSync(documents, self._handlers)
         self._ramp = ramp.Ramp(cfg.ramp)
         self._ledger = ledger.Ledger()
         self._backend = registry.BACKENDS[cfg.backend.kind](cfg.backend.url)
@@ -74,6 +79,7 @@
             self._handlers,
             self._heartbeat,
         )
+        self._group = self._create_group(identity)
         self._http = http.HttpServer(
             http.operator_routes(self._not_ready_reason), cfg.listen_http
         )
@@ -84,6 +90,8 @@
         host, _, port = self._cfg.listen_peers.rpartition(':')
         await self._peers.start(host, int(port))
         await self._http.start()
+        if self._group is not None:
+            self._group.start()
         self._tasks = [
             asyncio.create_task(self._watcher.run()),
             asyncio.create_task(self._expire()),
@@ -104,11 +112,35 @@
         """See :class:`lifecycle.Daemon`."""
         for task in self._tasks:
             task.cancel()
+        if self._group is not None:
+            await self._group.stop()
         await self._peers.stop()
         await self._http.stop()
         await self._backend.close()
         await self._store.close()
 
+    def _create_group(
+        self, identity: auth.Identity
+    ) -> expert_group.ExpertGroup | None:
+        cfg = self._cfg
+        if cfg.group is None or cfg.rank is None:
+            return None
+        peers = pool.PeerPool(
+            identity,
+            auth.KeyRing(cfg.peer_keys_file),
+            self._handlers,
+            self._heartbeat,
+        )
+        return expert_group.ExpertGroup(
+            cfg,
+            self._incarnation,
+            self._store,
+            self._hosts,
+            self._backend,
+            peers,
+            self._handlers,
+        )
+
     def _not_ready_reason(self) -> str | None:
         state = ttypes.TargetState(self._gate.state())
         if state is ttypes.TargetState.IN_SERVICE:
--- /dev/null
+++ b/src/wagtailhollow/internal/experts/group.py
@@ -0,0 +1,306 @@
+"""Part of an agent in the expert map of its group.
+
+Each agent serves the orders for its own rank and resolves silent rounds. The
+one that holds the lease also plans, stages and switches.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import secrets
+
+from absl import logging
+
+from ... import errors
+from ..distribution import document
+from ..platform import api, settled_put
+from ..settings import schema
+from ..wire import codec, connection, pool
+from ..wire.gen import ttypes
+from . import engine, leader, observation, placement, planner, switch
+from . import peers as group_peers
+from . import rank as ranks
+
+CANDIDATES = 3
+"""Lowest ranks of a group that try to lead it."""
+
+LOAD_TIMEOUT_S = 2.0
+STAGE_TIMEOUT_S = 1.0
+STAGE_POLL_S = 0.2
+MAX_STAGING_S = 120.0
+ROUND_ATTEMPTS = 3
+
+
+class MapNotSwitched(Exception):
+    """The new map is not in effect; the next period tries again."""
+
+
+def map_key(group: str) -> str:
+    """Return the key of the map object of a group."""
+    return f'groups/{group}/map'
+
+
+class ExpertGroup:
+    """All tasks and handlers of one agent for its group."""
+
+    def __init__(
+        self,
+        cfg: schema.AgentSettings,
+        incarnation: int,
+        store: api.ObjectStore,
+        host_list: document.VersionedDocument,
+        orders: engine.EngineOrders,
+        peers: pool.PeerPool,
+        handlers: connection.Handlers,
+    ) -> None:
+        self._group = cfg.group
+        self._store = store
+        self._orders = orders
+        self._rank = ranks.RankBallots(
+            cfg.group, cfg.rank, incarnation, orders
+        )
+        self._on_own = {
+            ttypes.StageMap: self._rank.stage,
+            ttypes.HoldRank: self._rank.hold,
+            ttypes.ActivateMap: self._rank.activate,
+            ttypes.ReleaseRank: self._rank.release,
+            ttypes.ExpertLoadRequest: self._expert_load,
+        }
+        for message_type in self._on_own:
+            handlers.on_request(message_type)(self._serve)
+        self._pool = peers
+        self._peers = group_peers.GroupPeers(
+            cfg.group, cfg.rank, host_list, peers, self._own
+        )
+        runner = switch.RoundRunner(self._peers, cfg.group, cfg.node)
+        lease = leader.Lease(
+            store,
+            cfg.group,
+            cfg.node,
+            lambda: cfg.rank in self._peers.ranks[:CANDIDATES],
+        )
+        self._lease = lease
+        self._runner = runner
+        self._leader = MapLeader(
+            cfg, store, orders, self._peers, lease, runner
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Start all tasks."""
+        self._tasks = [
+            asyncio.create_task(self._peers.fetch_hosts(self._store)),
+            asyncio.create_task(self._resolve()),
+            asyncio.create_task(self._lease.run()),
+            asyncio.create_task(self._leader.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop all tasks and close the connections to the peers."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._pool.stop()
+
+    async def _resolve(self) -> None:
+        await switch.resolve_silent_rounds(
+            self._rank, self._runner, self._peers.connected
+        )
+
+    async def _serve(
+        self, conn: connection.PeerConnection, message: codec.Message
+    ) -> codec.Message:
+        if conn.peer.role != ttypes.Role.AGENT:
+            raise errors.Refusal(
+                errors.ErrorKind.FORBIDDEN,
+                'orders for a rank come from agents of its group',
+            )
+        return await self._own(message)
+
+    async def _own(self, message: codec.Message) -> codec.Message:
+        if message.group != self._group:
+            raise errors.Refusal(
+                errors.ErrorKind.BAD_REQUEST,
+                f'this rank is in group {self._group}, not {message.group}',
+            )
+        return await self._on_own[type(message)](message)
+
+    async def _expert_load(
+        self, _: ttypes.ExpertLoadRequest
+    ) -> ttypes.ExpertLoad:
+        try:
+            load = await self._orders.expert_load()
+        except engine.EngineRefused as exc:
+            raise errors.Refusal(
+                errors.ErrorKind.ENGINE_FAILED, str(exc)
+            ) from exc
+        return ttypes.ExpertLoad(
+            self._rank.rank, [list(row) for row in load.layers], load.busy_s
+        )
+
+
+class MapLeader:
+    """Plans, stages and switches while its agent holds the lease."""
+
+    def __init__(
+        self,
+        cfg: schema.AgentSettings,
+        store: api.ObjectStore,
+        orders: engine.EngineOrders,
+        peers: group_peers.GroupPeers,
+        lease: leader.Lease,
+        runner: switch.RoundRunner,
+    ) -> None:
+        self._cfg = cfg
+        self._group = cfg.group
+        self._store = store
+        self._orders = orders
+        self._peers = peers
+        self._lease = lease
+        self._runner = runner
+        self._loads = group_peers.LoadCollector(peers, cfg.group)
+        self._planner = planner.PLANNERS[cfg.experts.planner](
+            planner.Costs(
+                weights_per_s=cfg.experts.weights_per_s,
+                spare_slots=cfg.experts.spare_slots,
+            )
+        )
+
+    async def run(self) -> None:
+        """Plan once in a period, for ever."""
+        while True:
+            await asyncio.sleep(self._cfg.experts.plan_period_s)
+            if self._lease.fencing is None:
+                continue
+            try:
+                async with self._peers.connected():
+                    await self._plan_once()
+            except (
+                MapNotSwitched,
+                api.Conflict,
+                api.PlatformUnavailable,
+                engine.EngineRefused,
+            ) as exc:
+                logging.warning('map of %s stays: %r', self._group, exc)
+
+    async def _plan_once(self) -> None:
+        stored = await self._stored_map()
+        current = placement.from_json(await self._orders.current_map())
+        state = await self._orders.map_state()
+        if stored.value['epoch'] > state.epoch:
+            # An earlier leader stored it and did not come to the switch.
+            new = placement.from_json(stored.value['placement'])
+            await self._switch(stored.value['epoch'], current, new)
+            return
+        layers, seconds = await self._loads.collect(LOAD_TIMEOUT_S)
+        gaps = (None,) * len(current.layers)
+        seen = observation.Observation(
+            tuple(layers) if layers is not None else gaps, seconds
+        )
+        now_s = asyncio.get_running_loop().time()
+        plan = self._planner.plan(current, seen, now_s)
+        if plan.slow_ranks:
+            logging.warning(
+                'ranks of %s slow for their load: %s',
+                self._group,
+                plan.slow_ranks,
+            )
+        if plan.moves:
+            epoch = stored.value['epoch'] + 1
+            await self._store_map(epoch, plan.placement, stored.version)
+            await self._switch(epoch, current, plan.placement)
+
+    async def _stored_map(self) -> api.StoredObject:
+        found = await self._store.get(map_key(self._group))
+        if found is not None:
+            return found
+        state = await self._orders.map_state()
+        current = placement.from_json(await self._orders.current_map())
+        return await self._store_map(state.epoch, current, api.ABSENT)
+
+    async def _store_map(
+        self, epoch: int, new: placement.Placement, expected: int
+    ) -> api.StoredObject:
+        """Write the map; one epoch never has two placements."""
+        nonce = secrets.token_hex(8)
+        value = {'epoch': epoch, 'placement': new.to_json(), 'nonce': nonce}
+        return await settled_put.settled_put(
+            self._store,
+            map_key(self._group),
+            value,
+            expected,
+            lambda found: found['nonce'] == nonce,
+        )
+
+    async def _switch(
+        self, epoch: int, old: placement.Placement, new: placement.Placement
+    ) -> None:
+        await self._stage(epoch, old, new)
+        reason = 'no lease'
+        for _ in range(ROUND_ATTEMPTS):
+            fencing = self._lease.fencing
+            if fencing is None:
+                break
+            try:
+                state = await self._orders.map_state()
+                promised = ttypes.Ballot(state.fencing, 0, '')
+                await self._runner.run(promised, fencing, epoch)
+                logging.info('map %d of %s in effect', epoch, self._group)
+                return
+            except switch.RoundFailed as exc:
+                reason = str(exc)
+        raise MapNotSwitched(f'map {epoch}: {reason}')
+
+    async def _stage(
+        self, epoch: int, old: placement.Placement, new: placement.Placement
+    ) -> None:
+        """Stage on one rank after the other under the store's rate."""
+        message = json.dumps(new.to_json(), separators=(',', ':')).encode()
+        deadline_s = asyncio.get_running_loop().time() + MAX_STAGING_S
+        for rank in self._peers.ranks:
+            await self._stage_rank(rank, epoch, message)
+            loads = _weights_of_rank(rank, old, new)
+            await asyncio.sleep(loads / self._cfg.experts.weights_per_s)
+        waiting = set(self._peers.ranks)
+        while waiting:
+            for rank in sorted(waiting):
+                state = await self._stage_rank(rank, epoch, message)
+                if state.staged_epoch >= epoch:
+                    waiting.discard(rank)
+            if not waiting:
+                return
+            if asyncio.get_running_loop().time() > deadline_s:
+                raise MapNotSwitched(f'not staged on ranks {sorted(waiting)}')
+            await asyncio.sleep(STAGE_POLL_S)
+
+    async def _stage_rank(
+        self, rank: int, epoch: int, message: bytes
+    ) -> ttypes.RankState:
+        fencing = self._lease.fencing
+        if fencing is None:
+            raise MapNotSwitched('the lease was lost while staging')
+        state = await self._peers.ask(
+            rank,
+            ttypes.StageMap(self._group, fencing, epoch, message),
+            STAGE_TIMEOUT_S,
+        )
+        if state is None or not state.accepted:
+            raise MapNotSwitched(f'rank {rank} does not stage')
+        return state
+
+
+def _weights_of_rank(
+    rank: int, old: placement.Placement, new: placement.Placement
+) -> int:
+    return placement.moves_between(
+        *(
+            placement.Placement(
+                tuple(
+                    placement.LayerPlacement((layer.slots[rank],))
+                    for layer in item.layers
+                )
+            )
+            for item in (old, new)
+        )
+    )
--- /dev/null
+++ b/src/wagtailhollow/internal/experts/leader.py
@@ -0,0 +1,105 @@
+"""The lease of a group's leader.
+
+The version of the lease object is the fencing number; a renewal raises it.
+An agent takes the lease over when it has seen one version unchanged for the
+whole duration by its own clock, so no two clocks are compared.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import time
+from collections.abc import Callable
+
+from absl import logging
+
+from ..platform import api, settled_put
+
+LEASE_S = 10.0
+RENEW_PERIOD_S = 3.0
+SAFETY_MARGIN_S = 1.0
+CANDIDATE_POLL_S = 0.5
+
+
+def lease_key(group: str) -> str:
+    """Return the key of the lease object of a group."""
+    return f'groups/{group}/lease'
+
+
+class Lease:
+    """The lease of one group as one agent sees it."""
+
+    def __init__(
+        self,
+        store: api.ObjectStore,
+        group: str,
+        node: str,
+        is_candidate: Callable[[], bool],
+    ) -> None:
+        """Create the view of the lease.
+
+        :param is_candidate: whether this agent may take the lease. Only a
+            few agents of a group read it, to spare the platform.
+        """
+        self._store = store
+        self._key = lease_key(group)
+        self._node = node
+        self._is_candidate = is_candidate
+        self._version = 0
+        self._valid_until_s = 0.0
+        self._seen_version = -1
+        self._seen_at_s = 0.0
+
+    @property
+    def fencing(self) -> int | None:
+        """Return the fencing number, None without a valid lease.
+
+        Safety does not depend on it: ranks refuse lower ballots even from a
+        leader that was paused after this check.
+        """
+        if time.monotonic() < self._valid_until_s:
+            return self._version
+        return None
+
+    async def run(self) -> None:
+        """Acquire and renew the lease for ever."""
+        while True:
+            try:
+                if not self._is_candidate() and self.fencing is None:
+                    await asyncio.sleep(CANDIDATE_POLL_S)
+                    continue
+                await self._try_once()
+            except api.Conflict:
+                self._version = 0
+                self._valid_until_s = 0.0
+            except api.PlatformUnavailable as exc:
+                logging.warning('lease %s: %s', self._key, exc)
+            await asyncio.sleep(RENEW_PERIOD_S * random.uniform(0.8, 1.0))
+
+    async def _try_once(self) -> None:
+        if self.fencing is not None:
+            await self._write(self._version)
+            return
+        found = await self._store.get(self._key)
+        version = found.version if found is not None else api.ABSENT
+        now_s = time.monotonic()
+        if version != self._seen_version:
+            self._seen_version, self._seen_at_s = version, now_s
+        if version == api.ABSENT or now_s - self._seen_at_s > LEASE_S:
+            await self._write(version)
+            logging.info('lease %s acquired', self._key)
+
+    async def _write(self, expected: int) -> None:
+        nonce = secrets.token_hex(8)
+        started_s = time.monotonic()
+        stored = await settled_put.settled_put(
+            self._store,
+            self._key,
+            {'holder': self._node, 'nonce': nonce},
+            expected,
+            lambda value: value['nonce'] == nonce,
+        )
+        self._version = stored.version
+        self._valid_until_s = started_s + LEASE_S - SAFETY_MARGIN_S
--- a/src/wagtailhollow/internal/settings/schema.py
+++ b/src/wagtailhollow/internal/settings/schema.py
@@ -111,6 +111,20 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class ExpertSettings:
+    """Planning of the expert maps, used by the agent that leads a group."""
+
+    planner: str = loader.setting('few_moves', allowed='a planner name')
+    plan_period_s: float = _seconds(60.0, 0.1, 86_400.0)
+    weights_per_s: float = loader.setting(
+        100.0,
+        allowed='expert weights a second from 0.1 to 100000',
+        check=loader.between(0.1, 100_000),
+    )
+    spare_slots: int = _count(2, 1, 64)
+
+
 @dataclasses.dataclass(frozen=True)
 class AgentSettings:
     """Settings of the agent daemon."""
@@ -132,6 +146,9 @@
         allowed='the rank in the group, 0 to 4095, or null',
         check=loader.between(0, 4095),
     )
+    experts: ExpertSettings = loader.setting(
+        ExpertSettings(), allowed='an object'
+    )
     drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
     log_level: str = _log_level()
 
--- a/src/wagtailhollow/internal/wire/gen/ttypes.py
+++ b/src/wagtailhollow/internal/wire/gen/ttypes.py
@@ -3348,6 +3348,182 @@
         return not (self == other)
 
 
+class ExpertLoadRequest(object):
+    """
+    Attributes:
+     - group
+
+    """
+
+    __slots__ = (
+        'group',
+    )
+
+
+    def __init__(self, group=None,):
+        self.group = group
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.group = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExpertLoadRequest')
+        if self.group is not None:
+            oprot.writeFieldBegin('group', TType.STRING, 1)
+            oprot.writeString(self.group.encode('utf-8') if sys.version_info[0] == 2 else self.group)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ExpertLoad(object):
+    """
+    Attributes:
+     - rank
+     - layers
+     - busy_seconds
+
+    """
+
+    __slots__ = (
+        'rank',
+        'layers',
+        'busy_seconds',
+    )
+
+
+    def __init__(self, rank=None, layers=None, busy_seconds=None,):
+        self.rank = rank
+        self.layers = layers
+        self.busy_seconds = busy_seconds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.layers = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = []
+                        (_etype64, _size61) = iprot.readListBegin()
+                        for _i65 in range(_size61):
+                            _elem66 = iprot.readI64()
+                            _elem60.append(_elem66)
+                        iprot.readListEnd()
+                        self.layers.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.busy_seconds = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ExpertLoad')
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 1)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.layers is not None:
+            oprot.writeFieldBegin('layers', TType.LIST, 2)
+            oprot.writeListBegin(TType.LIST, len(self.layers))
+            for iter67 in self.layers:
+                oprot.writeListBegin(TType.I64, len(iter67))
+                for iter68 in iter67:
+                    oprot.writeI64(iter68)
+                oprot.writeListEnd()
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.busy_seconds is not None:
+            oprot.writeFieldBegin('busy_seconds', TType.DOUBLE, 3)
+            oprot.writeDouble(self.busy_seconds)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class StatusRequest(object):
     """
     Attributes:
@@ -3657,6 +3833,8 @@
      - status_reply
      - reject
      - ack
+     - expert_load_request
+     - expert_load
 
     """
 
@@ -3689,10 +3867,12 @@
         'status_reply',
         'reject',
         'ack',
+        'expert_load_request',
+        'expert_load',
     )
 
 
-    def __init__(self, hello=None, hello_proof=None, heartbeat=None, document_fetch=None, document_delta=None, dispatch=None, dispatch_reply=None, response_head=None, chunk=None, end=None, abort=None, window=None, cancel_call=None, resume=None, cancel_if_not_started=None, call_outcome=None, block_request=None, block_grant=None, block_return=None, stage_map=None, hold_rank=None, activate_map=None, release_rank=None, rank_state=None, status_request=None, status_reply=None, reject=None, ack=None,):
+    def __init__(self, hello=None, hello_proof=None, heartbeat=None, document_fetch=None, document_delta=None, dispatch=None, dispatch_reply=None, response_head=None, chunk=None, end=None, abort=None, window=None, cancel_call=None, resume=None, cancel_if_not_started=None, call_outcome=None, block_request=None, block_grant=None, block_return=None, stage_map=None, hold_rank=None, activate_map=None, release_rank=None, rank_state=None, status_request=None, status_reply=None, reject=None, ack=None, expert_load_request=None, expert_load=None,):
         self.hello = hello
         self.hello_proof = hello_proof
         self.heartbeat = heartbeat
@@ -3721,6 +3901,8 @@
         self.status_reply = status_reply
         self.reject = reject
         self.ack = ack
+        self.expert_load_request = expert_load_request
+        self.expert_load = expert_load
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3899,6 +4081,18 @@
                     self.ack.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 29:
+                if ftype == TType.STRUCT:
+                    self.expert_load_request = ExpertLoadRequest()
+                    self.expert_load_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 30:
+                if ftype == TType.STRUCT:
+                    self.expert_load = ExpertLoad()
+                    self.expert_load.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -4021,6 +4215,14 @@
             oprot.writeFieldBegin('ack', TType.STRUCT, 28)
             self.ack.write(oprot)
             oprot.writeFieldEnd()
+        if self.expert_load_request is not None:
+            oprot.writeFieldBegin('expert_load_request', TType.STRUCT, 29)
+            self.expert_load_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.expert_load is not None:
+            oprot.writeFieldBegin('expert_load', TType.STRUCT, 30)
+            self.expert_load.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4388,6 +4590,18 @@
     (9, TType.BOOL, 'accepted', None, None, ),  # 9
     (10, TType.STRING, 'kind', 'UTF8', None, ),  # 10
 )
+all_structs.append(ExpertLoadRequest)
+ExpertLoadRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'group', 'UTF8', None, ),  # 1
+)
+all_structs.append(ExpertLoad)
+ExpertLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'rank', None, None, ),  # 1
+    (2, TType.LIST, 'layers', (TType.LIST, (TType.I64, None, False), False), None, ),  # 2
+    (3, TType.DOUBLE, 'busy_seconds', None, None, ),  # 3
+)
 all_structs.append(StatusRequest)
 StatusRequest.thrift_spec = (
     None,  # 0
@@ -4439,6 +4653,8 @@
     (26, TType.STRUCT, 'status_reply', [StatusReply, None], None, ),  # 26
     (27, TType.STRUCT, 'reject', [Reject, None], None, ),  # 27
     (28, TType.STRUCT, 'ack', [Ack, None], None, ),  # 28
+    (29, TType.STRUCT, 'expert_load_request', [ExpertLoadRequest, None], None, ),  # 29
+    (30, TType.STRUCT, 'expert_load', [ExpertLoad, None], None, ),  # 30
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/src/wagtailhollow/internal/wire/wagtailhollow.thrift
+++ b/src/wagtailhollow/internal/wire/wagtailhollow.thrift
@@ -242,6 +242,20 @@
   10: optional string kind
 }
 
+struct ExpertLoadRequest {
+  1: string group
+}
+
+/*
+ * Counters of one rank since the start of its engine: by layer the tokens by
+ * expert, and the seconds spent computing.
+ */
+struct ExpertLoad {
+  1: i32 rank
+  2: list<list<i64>> layers
+  3: double busy_seconds
+}
+
 struct StatusRequest {
   1: string what
   2: optional binary argument
@@ -288,6 +302,8 @@
   26: StatusReply status_reply
   27: Reject reject
   28: Ack ack
+  29: ExpertLoadRequest expert_load_request
+  30: ExpertLoad expert_load
 }
 
 /* request_id 0: one-way. is_reply: answers the request of that number. */
