--- a/tests/rank_groups.py
+++ b/tests/rank_groups.py
@@ -85,6 +85,17 @@
         name = (await self.cluster.get(url))['value']['holder']
         return self.cluster.processes[name]
 
+    async def wait_other_leader(
+        self, old: deployment.Process, timeout_s: float
+    ) -> float:
+        """Return the seconds until another agent holds the lease."""
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        while (await self.leader()).name == old.name:
+            assert loop.time() - started_s < timeout_s, 'no other leader'
+            await asyncio.sleep(0.1)
+        return loop.time() - started_s
+
     async def order(self, rank: int, message: Any) -> Any:
         """Send a message to a rank's agent as another agent would."""
         conn = await connection.connect(
