Test the switch rounds in one process with random faults

Cause: tests with processes reach few orders of events, and the specification says nothing about the code.

--- /dev/null
+++ b/tests/cover/test_map_switch_rounds.py
@@ -0,0 +1,235 @@
+"""Rounds of the map switch in one process, with faults in any order."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wagtailhollow import errors
+from wagtailhollow.internal.experts import ballot as ballots
+from wagtailhollow.internal.experts import engine, rank, switch
+from wagtailhollow.internal.wire.gen import ttypes
+
+
+class Engine:
+    """Engine of one rank that carries out every order as it comes."""
+
+    def __init__(self) -> None:
+        self.epoch, self.held, self.staged = 1, False, (1, 2)
+
+    async def map_state(self):
+        await asyncio.sleep(0)
+        return engine.EngineMapState(self.epoch, self.staged, self.held, 0)
+
+    async def hold(self, fencing):
+        self.held = True
+        return await self.map_state()
+
+    async def activate(self, epoch, fencing):
+        self.epoch = epoch
+        return await self.map_state()
+
+    async def release(self, epoch, fencing):
+        self.held = False
+        return await self.map_state()
+
+    async def stage_map(self, epoch, placement, fencing):
+        self.staged = (*self.staged, epoch)
+
+
+class Group:
+    """Ranks in memory; messages are lost, late or delivered twice."""
+
+    def __init__(self, ranks: int, seed: int, fault_share: float) -> None:
+        self.ranks = range(ranks)
+        self.engines = [Engine() for _ in self.ranks]
+        self.agents = []
+        self._rng = random.Random(seed)
+        self._fault_share = fault_share
+        self._late: set[asyncio.Task] = set()
+        self.mixed = 0
+        for index in self.ranks:
+            self.agents.append(self._agent(index, 1))
+
+    def _agent(self, index: int, incarnation: int) -> rank.RankBallots:
+        return rank.RankBallots('g', index, incarnation, self.engines[index])
+
+    def restart(self, index: int) -> None:
+        """Replace an agent by one of the next incarnation."""
+        incarnation = self.agents[index].incarnation + 1
+        self.agents[index] = self._agent(index, incarnation)
+
+    async def ask(self, index, message, timeout_s):
+        draw = self._rng.random()
+        if draw < self._fault_share:
+            self._deliver_later(index, message)
+            return None
+        if draw < 2 * self._fault_share:
+            await self._deliver(index, message)
+            return None
+        if draw < 3 * self._fault_share:
+            self._deliver_later(index, message)
+        if draw > 1 - self._fault_share / 2:
+            self.restart(index)
+        return await self._deliver(index, message)
+
+    def _deliver_later(self, index, message) -> None:
+        async def later():
+            for _ in range(self._rng.randrange(60)):
+                await asyncio.sleep(0)
+            await self._deliver(index, message)
+
+        task = asyncio.create_task(later())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
+    async def _deliver(self, index, message):
+        agent = self.agents[index]
+        serve = {
+            ttypes.HoldRank: agent.hold,
+            ttypes.ActivateMap: agent.activate,
+            ttypes.ReleaseRank: agent.release,
+        }[type(message)]
+        answer = await serve(copied(message))
+        self.check()
+        return answer
+
+    def check(self) -> None:
+        """Count a step on two maps, if one could happen now."""
+        if not any(item.held for item in self.engines):
+            self.mixed += len({item.epoch for item in self.engines}) > 1
+
+    async def settle(self) -> None:
+        """Wait until no message is late any more."""
+        while self._late:
+            await asyncio.sleep(0)
+
+    def stop_faults(self) -> None:
+        """Deliver every message from now on."""
+        self._fault_share = 0.0
+
+
+def copied(message):
+    """Return the message as the receiver of a frame would see it."""
+    values = [getattr(message, name) for name in message.__slots__]
+    return type(message)(*values)
+
+
+async def propose(group: Group, node: str, fencing: int, epoch: int) -> bool:
+    runner = switch.RoundRunner(group, 'g', node)
+    for _ in range(4):
+        try:
+            await runner.run(ballots.NO_BALLOT, fencing, epoch)
+            return True
+        except switch.RoundFailed:
+            await asyncio.sleep(0)
+    return False
+
+
+@settings(max_examples=150, deadline=None)
+@given(
+    seed=st.integers(0, 2**32),
+    ranks=st.integers(2, 4),
+    fault_share=st.sampled_from((0.02, 0.1, 0.25)),
+)
+def test_no_order_of_events_mixes_maps_or_holds_the_group_for_ever(
+    seed, ranks, fault_share
+):
+    # Guards against a difference between the code and its specification.
+    async def scenario():
+        group = Group(ranks, seed, fault_share)
+        await asyncio.gather(
+            propose(group, 'leader', 5, 2),
+            propose(group, 'other', 0, 0),
+            propose(group, 'stale', 4, 2),
+        )
+        group.stop_faults()
+        await group.settle()
+        assert await propose(group, 'resolver', 0, 0)
+        assert group.mixed == 0
+        assert not any(item.held for item in group.engines)
+        assert len({item.epoch for item in group.engines}) == 1
+
+    asyncio.run(scenario())
+
+
+def hold(fencing=1, attempt=1, epoch=0):
+    ballot = ttypes.Ballot(fencing, attempt, 'leader')
+    return ttypes.HoldRank('g', ballot, epoch)
+
+
+def run(*orders):
+    """Send orders to one rank and return the answers and its engine."""
+
+    async def scenario():
+        own = Engine()
+        agent = rank.RankBallots('g', 0, 7, own)
+        serve = {
+            ttypes.HoldRank: agent.hold,
+            ttypes.ActivateMap: agent.activate,
+            ttypes.ReleaseRank: agent.release,
+            ttypes.StageMap: agent.stage,
+        }
+        return [await serve[type(item)](item) for item in orders], own
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    'late',
+    [
+        hold(1, 1),
+        hold(2, 1),
+        ttypes.StageMap('g', 1, 3, b'[]'),
+        ttypes.ActivateMap('g', ttypes.Ballot(1, 1, 'leader'), 7, 2),
+        ttypes.ReleaseRank('g', ttypes.Ballot(1, 1, 'leader'), 7, 1),
+    ],
+    ids=lambda message: type(message).__name__,
+)
+def test_orders_below_the_promise_are_refused(late):
+    # Guards against a former leader that goes on with its round.
+    (_, answer), own = run(hold(2, 1), late)
+    assert answer.kind == errors.ErrorKind.STALE_ORDER.value
+    assert (own.epoch, own.held, own.staged) == (1, True, (1, 2))
+
+
+def test_order_for_another_incarnation_is_refused():
+    # Guards against a promise that the agent gave before its restart.
+    message = hold(2, 1)
+    (_, answer), own = run(
+        message, ttypes.ActivateMap('g', message.ballot, 6, 2)
+    )
+    assert answer.kind == errors.ErrorKind.STALE_INCARNATION.value
+    assert own.epoch == 1
+
+
+def test_release_of_another_map_is_refused():
+    # Guards against an activation that overtook the release at the engine.
+    message = hold(2, 1)
+    (_, answer), own = run(
+        message, ttypes.ReleaseRank('g', message.ballot, 7, 2)
+    )
+    assert not answer.accepted
+    assert own.held
+
+
+def test_hold_for_a_map_that_is_not_staged_does_not_stop_the_rank():
+    # Guards against a group held while its weights are still loading.
+    (answer,), own = run(hold(epoch=9))
+    assert answer.kind == errors.ErrorKind.NOT_READY.value
+    assert not own.held
+
+
+def test_a_map_in_effect_anywhere_wins():
+    # Guards against a resolver that returns to a map which a rank has left.
+    states = [
+        ttypes.RankState('g', index, 1, epoch, 2, 0, True)
+        for index, epoch in enumerate((1, 2, 1))
+    ]
+    assert switch.decide(states, 0) == 2
+    assert switch.decide(states[:1], 0) == 1
+    assert switch.decide(states, 3) == 3
