--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -16,9 +16,9 @@
 from ..settings import schema
 from ..streams import incoming
 from ..table import model, queries
-from ..wire import auth, connection, pool, server
+from ..wire import auth, connection, pool, server, tls
 from ..wire.gen import ttypes
-from . import admission, app, attempts, calls, claimed_calls
+from . import admission, app, attempts, calls, claimed_calls, host_rows
 
 FIRST_REPORTS_WAIT_S = 5.0
 """How long a starting entry waits for a target of each service."""
@@ -36,7 +36,6 @@
         self._table = document.VersionedDocument(model.TABLE_DOCUMENT)
         self._table.on_change(self._table_changed)
         self._hosts = document.VersionedDocument(hosts.HOSTS_DOCUMENT)
-        self._hosts.on_change(self._hosts_changed)
         self._view: queries.TableView | None = None
         self._load_view = load_view.LoadView()
         self._handlers = connection.Handlers()
@@ -58,11 +57,23 @@
             cfg.listen_peers,
         )
         key_ring = auth.KeyRing(cfg.peer_keys_file)
+        contexts = tls.contexts(cfg.tls)
         self._peers = pool.PeerPool(
-            identity, key_ring, self._handlers, self._heartbeat
+            identity,
+            key_ring,
+            self._handlers,
+            self._heartbeat,
+            contexts.client,
         )
         self._server = server.PeerServer(
-            identity, key_ring, self._handlers, self._heartbeat
+            identity,
+            key_ring,
+            self._handlers,
+            self._heartbeat,
+            contexts.server,
+        )
+        self._host_rows = host_rows.HostRows(
+            self._hosts, self._peers, self._load_view, self._handlers
         )
         answers = incoming.IncomingAnswers(self._handlers)
         runner = attempts.AttemptRunner(self._peers, answers, self._load_view)
@@ -155,10 +166,6 @@
         for conn in self._peers.open_connections():
             self._sync.push(conn, self._table.name)
 
-    def _hosts_changed(self, change: document.Change) -> None:
-        rows = hosts.from_rows(self._hosts.rows)
-        self._peers.want(row.address for row in rows if row.role == 'agent')
-
     def _heard(
         self, conn: connection.PeerConnection, message: ttypes.Heartbeat
     ) -> None:
--- a/src/wagtailhollow/internal/routing/load_view.py
+++ b/src/wagtailhollow/internal/routing/load_view.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import time
+from collections.abc import Iterable
 
 from ..wire import auth
 from ..wire.gen import ttypes
@@ -30,15 +31,35 @@
         self._clock = clock
         self._reports: dict[str, Report] = {}
         self._outstanding: collections.Counter[str] = collections.Counter()
+        self._serving: frozenset[str] | None = None
 
     def take(
         self, agent: auth.Identity, load: ttypes.TargetLoad, draining: bool
     ) -> None:
         """Store a report that arrived now."""
         self._reports[load.target] = Report(
-            load, agent, self._clock(), draining
+            load,
+            agent,
+            self._clock(),
+            draining or not self._is_serving(agent.node),
         )
 
+    def set_serving(self, nodes: Iterable[str]) -> None:
+        """Take the agents that the host list names and that do not leave.
+
+        Reports of all others count as draining.
+        """
+        self._serving = frozenset(nodes)
+        self._reports = {
+            target: report
+            if self._is_serving(report.agent.node)
+            else dataclasses.replace(report, draining=True)
+            for target, report in self._reports.items()
+        }
+
+    def _is_serving(self, node: str) -> bool:
+        return self._serving is None or node in self._serving
+
     def forget(self, node: str) -> None:
         """Drop the reports of an agent whose connection ended."""
         self._reports = {
--- a/src/wagtailhollow/internal/settings/schema.py
+++ b/src/wagtailhollow/internal/settings/schema.py
@@ -63,6 +63,15 @@
     call_deadline_s: float = _seconds(300.0, 0.1, 3600.0)
 
 
+@dataclasses.dataclass(frozen=True)
+class TlsSettings:
+    """TLS between peers; every process of a deployment has it or none."""
+
+    ca_file: str = loader.setting(allowed='path of the CA certificates (PEM)')
+    cert_file: str = loader.setting(allowed='path of the certificate (PEM)')
+    key_file: str = loader.setting(allowed='path of the private key (PEM)')
+
+
 @dataclasses.dataclass(frozen=True)
 class EntrySettings:
     """Settings of the entry daemon."""
@@ -81,6 +90,7 @@
     limit_method: str = loader.setting(
         'owner_blocks', allowed='the name of a limit method'
     )
+    tls: TlsSettings | None = loader.setting(None, allowed='an object or null')
     drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
     log_level: str = _log_level()
 
@@ -132,6 +142,7 @@
         allowed='the rank in the group, 0 to 4095, or null',
         check=loader.between(0, 4095),
     )
+    tls: TlsSettings | None = loader.setting(None, allowed='an object or null')
     drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
     log_level: str = _log_level()
 
@@ -144,6 +155,7 @@
     deployment: str = _name()
     platform_url: str = loader.setting(allowed=_URL, check=loader.is_url)
     peer_keys_file: str = loader.setting(allowed='path of the key file')
+    tls: TlsSettings | None = loader.setting(None, allowed='an object or null')
     timeout_s: float = _seconds(10.0, 0.1, 600.0)
 
 
