--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -174,7 +174,9 @@
             self._load_view.take(conn.peer, message.load, message.draining)
 
     def _connection_closed(self, conn: connection.PeerConnection) -> None:
-        self._load_view.forget(conn.peer.node)
+        kept = self._peers.get(conn.peer.address)
+        if kept is None or kept is conn:
+            self._load_view.forget(conn.peer.node)
 
     def _heartbeat(self, conn: connection.PeerConnection) -> ttypes.Heartbeat:
         return ttypes.Heartbeat(
