--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -26,9 +26,9 @@
 from ..settings import schema
 from ..streams import incoming
 from ..table import model, queries
-from ..wire import auth, connection, pool, server
+from ..wire import auth, connection, pool, server, tls
 from ..wire.gen import ttypes
-from . import admission, app, attempts, calls, claimed_calls
+from . import admission, app, attempts, calls, claimed_calls, host_rows
 
 PEERS_PERIOD_S = 0.5
 """How often the wanted peers are worked out: liveness changes with time."""
@@ -50,12 +50,12 @@
         self._table = document.VersionedDocument(model.TABLE_DOCUMENT)
         self._table.on_change(self._table_changed)
         self._hosts = document.VersionedDocument(hosts.HOSTS_DOCUMENT)
-        self._hosts.on_change(self._hosts_changed)
         self._view: queries.TableView | None = None
         self._direct = overrides.DirectWithdrawals(self._table, self._publish)
         self._sharing = 1
         self._load_view = load_view.LoadView(sharing=lambda: self._sharing)
         self._handlers = connection.Handlers()
+        self._hosts.on_change(self._hosts_changed)
         self._handlers.on_notice(ttypes.Heartbeat)(self._heard)
         self._handlers.opened.append(self._connection_opened)
         self._handlers.closed.append(self._connection_closed)
@@ -86,11 +86,23 @@
             cfg.listen_peers,
         )
         key_ring = auth.KeyRing(cfg.peer_keys_file)
+        contexts = tls.contexts(cfg.tls)
         self._peers = pool.PeerPool(
-            identity, key_ring, self._handlers, self._heartbeat
+            identity,
+            key_ring,
+            self._handlers,
+            self._heartbeat,
+            contexts.client,
         )
         self._server = server.PeerServer(
-            identity, key_ring, self._handlers, self._heartbeat
+            identity,
+            key_ring,
+            self._handlers,
+            self._heartbeat,
+            contexts.server,
+        )
+        self._host_rows = host_rows.HostRows(
+            self._hosts, self._peers, self._load_view, self._handlers
         )
         answers = incoming.IncomingAnswers(self._handlers)
         runner = attempts.AttemptRunner(self._peers, answers, self._load_view)
@@ -145,6 +157,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._started_s = time.monotonic()
         self._was_ready = False
+        self._is_stopping = False
 
     async def start(self) -> None:
         """See :class:`lifecycle.Daemon`."""
@@ -161,8 +174,11 @@
 
     async def drain(self) -> None:
         """See :class:`lifecycle.Daemon`."""
-        self._app.draining = True
         deadline_s = time.monotonic() + self._cfg.drain_timeout_s
+        # Calls are still taken until the balancer has seen /readyz fail.
+        self._is_stopping = True
+        await asyncio.sleep(self._cfg.drain_notice_s)
+        self._app.draining = True
         while self._app.in_progress and time.monotonic() < deadline_s:
             await asyncio.sleep(0.05)
         if self._app.in_progress:
@@ -179,7 +195,7 @@
         await self._store.close()
 
     def _not_ready_reason(self) -> str | None:
-        if self._app.draining:
+        if self._is_stopping:
             return 'draining'
         if self._view is None:
             return 'no table yet'
@@ -249,7 +265,7 @@
     def _all_peers(self) -> list[connection.PeerConnection]:
         accepted = [
             conn
-            for conn in self._server.connections.values()
+            for conn in self._server.connections
             if conn.peer.role == ttypes.Role.ENTRY
         ]
         return [*self._peers.open_connections(), *accepted]
@@ -300,7 +316,9 @@
     def _connection_closed(self, conn: connection.PeerConnection) -> None:
         if conn.peer.role == ttypes.Role.ENTRY:
             self._duty.closed(conn.peer, conn)
-        elif conn.peer.role == ttypes.Role.AGENT:
+            return
+        kept = self._peers.get(conn.peer.address)
+        if kept is None or kept is conn:
             self._load_view.forget(conn.peer.node)
 
     def _versions(self) -> list[ttypes.DocumentVersion]:
