--- a/src/wagtailhollow/internal/agent/backends/http_call.py
+++ b/src/wagtailhollow/internal/agent/backends/http_call.py
@@ -62,7 +62,9 @@
             for key, value in resp.headers.items()
             if key.lower() not in _HOP_BY_HOP
         }
-        return registry.BackendAnswer(resp.status, kept, _chunks(resp))
+        return registry.BackendAnswer(
+            resp.status, kept, _chunks(resp), resp.close
+        )
 
     async def get_json(self, path: str) -> dict:
         """Return the JSON object at *path*; raises BackendFailed."""
--- a/src/wagtailhollow/internal/agent/backends/model_engine.py
+++ b/src/wagtailhollow/internal/agent/backends/model_engine.py
@@ -18,6 +18,10 @@
 HOLD_TIMEOUT_S = 0.6
 """Below the time-out of an order between agents."""
 
+_TOO_MANY_REQUESTS = 429
+_REFUSED = frozenset({_TOO_MANY_REQUESTS, 503})
+"""Statuses by which an engine refuses a call that it has not started."""
+
 
 @registry.backend('model_engine')
 class ModelEngine:
@@ -41,6 +45,12 @@
         answer = await self._http.open(
             call.method, call.path, headers, call.body
         )
+        if answer.status >= 500 or answer.status == _TOO_MANY_REQUESTS:
+            answer.discard()
+            raise registry.BackendFailed(
+                f'the engine answered {answer.status}',
+                started=answer.status not in _REFUSED,
+            )
         return _of_call(answer, call.call_id)
 
     async def resume(
@@ -50,13 +60,14 @@
         path = f'/v1/streams/{call_id}?offset={offset}'
         answer = await self._http.open('GET', path, {}, None)
         if answer.status != 200:
+            answer.discard()
             raise registry.BackendFailed(
                 f'the engine no longer has the stream: {answer.status}',
                 started=True,
             )
         return _of_call(answer, call_id)
 
-    async def cancel(self, call_id: str) -> None:
+    async def cancel(self, call_id: str) -> bool:
         """See :meth:`registry.Backend.cancel`."""
         with contextlib.suppress(
             aiohttp.ClientError, asyncio.TimeoutError, OSError
@@ -64,8 +75,10 @@
             async with self._http.session().delete(
                 f'{self._url}/v1/streams/{call_id}',
                 timeout=aiohttp.ClientTimeout(total=http_call.LOAD_TIMEOUT_S),
-            ):
-                pass
+            ) as resp:
+                # 404: the engine does not have the stream any more.
+                return resp.status in (200, 204, 404)
+        return False
 
     async def load(self) -> registry.BackendLoad:
         """See :meth:`registry.Backend.load`."""
@@ -168,6 +181,7 @@
     """
     named = answer.headers.get('x-request-id', call_id)
     if named != call_id:
+        answer.discard()
         raise registry.BackendFailed(
             f'the engine answered for the call {named}', started=True
         )
--- a/src/wagtailhollow/internal/agent/backends/plain_service.py
+++ b/src/wagtailhollow/internal/agent/backends/plain_service.py
@@ -31,8 +31,9 @@
             'a plain service cannot resume an answer', started=True
         )
 
-    async def cancel(self, call_id: str) -> None:
-        """Do nothing: a plain service has no cancellation."""
+    async def cancel(self, call_id: str) -> bool:
+        """Return False: a plain service has no cancellation."""
+        return False
 
     async def load(self) -> registry.BackendLoad:
         """See :meth:`registry.Backend.load`."""
--- a/src/wagtailhollow/internal/agent/backends/registry.py
+++ b/src/wagtailhollow/internal/agent/backends/registry.py
@@ -38,11 +38,20 @@
 
 @dataclasses.dataclass(frozen=True)
 class BackendAnswer:
-    """Head of an answer and the iterator over its body."""
+    """Head of an answer and the iterator over its body.
+
+    :ivar discard: closes the answer if its body is not read.
+    """
 
     status: int
     headers: Mapping[str, str]
     chunks: AsyncIterator[bytes]
+    discard: Callable[[], None] = lambda: None
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the body is an event stream."""
+        return 'event-stream' in self.headers.get('content-type', '')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -80,8 +89,8 @@
     async def resume(self, call_id: str, offset: int) -> BackendAnswer:
         """Go on with a running answer; raises :class:`BackendFailed`."""
 
-    async def cancel(self, call_id: str) -> None:
-        """Stop a call, if the target can; never raises."""
+    async def cancel(self, call_id: str) -> bool:
+        """Stop a call; return whether it certainly no longer runs."""
 
     async def load(self) -> BackendLoad:
         """Return the present load; raises :class:`BackendFailed`."""
--- a/src/wagtailhollow/internal/agent/calls.py
+++ b/src/wagtailhollow/internal/agent/calls.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
+import time
 from collections.abc import Callable
 
 from absl import logging
@@ -14,11 +16,20 @@
 from . import gate as gate_module
 from . import ledger as ledger_module
 from . import ramp as ramp_module
+from . import watcher as watcher_module
 from .backends import registry
 
 RESUME_GRACE_S = 10.0
 """How long a stream is kept for an entry whose connection ended."""
 
+MAX_CHUNK_BYTES = 16 * 1024
+"""Pieces are small, so that no call occupies a connection for long."""
+
+MAX_REMEMBERED_CANCELS = 4096
+
+MAX_ENGINE_RECONNECTS = 3
+"""Attempts to go on with a stream whose connection to the engine broke."""
+
 
 class CallServer:
     """Serves Dispatch, Resume, Window and the cancellations."""
@@ -30,6 +41,7 @@
         backend: registry.Backend,
         gate: gate_module.Gate,
         ramp: ramp_module.Ramp,
+        watcher: watcher_module.TargetWatcher,
         ledger: ledger_module.Ledger,
         catch_up: Callable,
         load: Callable[[], ttypes.TargetLoad],
@@ -46,10 +58,15 @@
         self._backend = backend
         self._gate = gate
         self._ramp = ramp
+        self._watcher = watcher
         self._ledger = ledger
         self._catch_up = catch_up
         self._load = load
         self._running: dict[str, RunningCall] = {}
+        self._ended: dict[str, _Ended] = {}
+        self._cancelled: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         handlers.on_request(ttypes.Dispatch)(self._dispatch)
         handlers.on_request(ttypes.Resume)(self._resume)
         handlers.on_request(ttypes.CancelIfNotStarted)(self._cancel_claim)
@@ -62,22 +79,45 @@
         """Return the number of calls in progress."""
         return len(self._running)
 
+    @property
+    def unfinished(self) -> int:
+        """Return the calls that a planned stop has to wait for.
+
+        These are the running ones and the streams whose last bytes the entry
+        may have to fetch again by a Resume.
+        """
+        self.expire()
+        return len(self._running) + len(self._ended)
+
+    def expire(self) -> None:
+        """Forget ended streams that arrived or that nobody resumed."""
+        now_s = time.monotonic()
+        self._ended = {
+            call_id: ended
+            for call_id, ended in self._ended.items()
+            if not ended.has_arrived() and now_s < ended.expires_s
+        }
+
     async def _dispatch(
         self, conn: connection.PeerConnection, message: ttypes.Dispatch
     ) -> ttypes.DispatchReply:
         try:
+            _check_role(conn)
             await self._catch_up(conn, message.table_version)
-            self._admit(message)
+            await self._watcher.wait_for_start()
+            ticket = self._admit(conn, message)
         except errors.Refusal as exc:
             return ttypes.DispatchReply(
                 False, exc.kind.value, exc.message, self._load()
             )
-        call = RunningCall(conn, message, self._backend)
+        call = RunningCall(conn, message, ticket, self._ramp.epoch)
         self._running[message.call_id] = call
         call.task = asyncio.create_task(self._run(call, message))
         return ttypes.DispatchReply(True)
 
-    def _admit(self, message: ttypes.Dispatch) -> None:
+    def _admit(
+        self, conn: connection.PeerConnection, message: ttypes.Dispatch
+    ) -> int:
         """Check and count the call in one step, without a suspension."""
         if (
             message.target != self._target
@@ -91,10 +131,15 @@
             raise errors.Refusal(
                 errors.ErrorKind.STALE_ORDER, 'the call is running already'
             )
+        if message.call_id in self._cancelled or not conn.is_open:
+            raise errors.Refusal(
+                errors.ErrorKind.STALE_ORDER, 'the call was cancelled'
+            )
         self._gate.check()
         if message.claim is not None:
             self._ledger.start(message.claim)
-        self._gate.enter()
+        self._watcher.count_start()
+        return self._gate.enter()
 
     async def _run(self, call: RunningCall, message: ttypes.Dispatch) -> None:
         request = registry.BackendCall(
@@ -109,10 +154,11 @@
         head: registry.BackendAnswer | None = None
         is_answered = False
         try:
+            call.begin()
             async with asyncio.timeout(message.deadline_in_ms / 1000):
                 head = await self._backend.start(request)
                 record = None if message.claim is None else recorded.extend
-                await call.relay(head, 0, record)
+                await self._relay(call, head, 0, record)
             is_answered = True
         except registry.BackendFailed as exc:
             self._backend_failed(call, message, exc)
@@ -124,7 +170,56 @@
             logging.exception('call %s failed', message.call_id)
             call.abort(errors.ErrorKind.INTERNAL, 'the agent failed')
         finally:
-            await self._finish(call, message, head, recorded, is_answered)
+            if message.claim is not None and not call.never_reached_target:
+                self._record(message.claim, head, recorded, is_answered)
+            if is_answered and head.status < 400:
+                self._ramp.completed(self._gate.running, call.epoch)
+            await self._finish(call, is_answered)
+
+    def _record(
+        self,
+        claim: ttypes.ClaimTicket,
+        head: registry.BackendAnswer | None,
+        recorded: bytearray,
+        is_answered: bool,
+    ) -> None:
+        outcome = (
+            ledger_module.Outcome(head.status, head.headers, bytes(recorded))
+            if head is not None and is_answered
+            else None
+        )
+        self._ledger.finish(claim, outcome)
+
+    async def _relay(
+        self,
+        call: RunningCall,
+        answer: registry.BackendAnswer,
+        offset: int,
+        record: Callable[[bytes], None] | None,
+    ) -> None:
+        """Relay *answer* to its end.
+
+        If the connection to the engine breaks, the stream goes on over a new
+        one at the byte where it stopped; another generation would differ.
+        """
+        call.send_head(answer)
+        call.offset = offset
+        for _ in range(MAX_ENGINE_RECONNECTS):
+            start = call.offset
+            try:
+                await call.send_body(answer, record)
+                break
+            except registry.BackendFailed:
+                if not answer.is_stream or not self._backend.can_resume:
+                    raise
+                answer = await self._backend.resume(call.call_id, call.offset)
+                if call.offset == start:
+                    await asyncio.sleep(0)
+        else:
+            raise registry.BackendFailed(
+                'the stream of the engine broke repeatedly', started=True
+            )
+        call.send_end()
 
     def _backend_failed(
         self,
@@ -141,68 +236,85 @@
             self._ledger.withdraw(message.claim)
         call.abort(errors.ErrorKind.NO_TARGET, str(exc))
 
-    async def _finish(
-        self,
-        call: RunningCall,
-        message: ttypes.Dispatch,
-        head: registry.BackendAnswer | None,
-        recorded: bytearray,
-        is_answered: bool,
-    ) -> None:
-        if self._running.get(message.call_id) is call:
-            del self._running[message.call_id]
-        if is_answered:
-            self._ramp.completed(self._gate.running)
-        self._gate.leave()
-        if message.claim is not None and not call.never_reached_target:
-            outcome = (
-                ledger_module.Outcome(
-                    head.status, head.headers, bytes(recorded)
-                )
-                if head is not None and is_answered
-                else None
-            )
-            self._ledger.finish(message.claim, outcome)
-        if not is_answered and not call.is_detached:
-            await self._backend.cancel(message.call_id)
+    async def _finish(self, call: RunningCall, is_answered: bool) -> None:
+        """Free the place of the call once the target no longer runs it."""
+        is_running_on = False
+        try:
+            if not (
+                is_answered or call.is_detached or call.never_reached_target
+            ):
+                is_running_on = True
+                is_running_on = not await self._backend.cancel(call.call_id)
+        finally:
+            if self._running.get(call.call_id) is call:
+                del self._running[call.call_id]
+            if call.ticket is not None:
+                self._gate.leave(call.ticket, is_running_on)
+            if is_answered and call.is_stream:
+                self._ended[call.call_id] = _Ended(call.conn)
 
     async def _resume(
         self, conn: connection.PeerConnection, message: ttypes.Resume
     ) -> ttypes.DispatchReply:
+        _check_role(conn)
         if message.target != self._target or not self._backend.can_resume:
             raise errors.Refusal(
                 errors.ErrorKind.BAD_REQUEST, 'the stream is not here'
             )
         old = self._running.get(message.call_id)
+        if old is not None and (
+            old.is_claimed or old.attempt >= message.attempt
+        ):
+            raise errors.Refusal(
+                errors.ErrorKind.STALE_ORDER,
+                'a later attempt has the stream, or it is a claimed call',
+            )
+        call = RunningCall(conn, message, None, self._ramp.epoch)
+        # Registered before the suspension: of two resumptions that cross, the
+        # later one takes the stream from the earlier one.
+        self._running[message.call_id] = call
         if old is not None:
+            call.ticket, old.ticket = old.ticket, None
             await old.detach()
-        call = RunningCall(conn, message, self._backend)
-        self._running[message.call_id] = call
-        self._gate.enter()
+        self._ended.pop(message.call_id, None)
+        if self._running.get(message.call_id) is not call or not conn.is_open:
+            self._abandon(call)
+            raise errors.Refusal(
+                errors.ErrorKind.STALE_ORDER, 'a later attempt has the stream'
+            )
+        if call.ticket is None:
+            call.ticket = self._gate.enter()
         call.task = asyncio.create_task(self._run_resumed(call, message))
         return ttypes.DispatchReply(True)
 
+    def _abandon(self, call: RunningCall) -> None:
+        """Drop a resumption that never started to relay."""
+        if self._running.get(call.call_id) is call:
+            del self._running[call.call_id]
+        if call.ticket is not None:
+            self._gate.leave(call.ticket, is_running_on=True)
+
     async def _run_resumed(
         self, call: RunningCall, message: ttypes.Resume
     ) -> None:
         is_answered = False
         try:
+            call.begin()
             async with asyncio.timeout(message.deadline_in_ms / 1000):
                 head = await self._backend.resume(
                     message.call_id, message.offset
                 )
-                await call.relay(head, message.offset, None)
+                await self._relay(call, head, message.offset, None)
             is_answered = True
         except registry.BackendFailed as exc:
             call.abort(errors.ErrorKind.ENGINE_FAILED, str(exc))
         except (TimeoutError, asyncio.CancelledError):
             call.abort(errors.ErrorKind.DEADLINE_EXCEEDED, 'cancelled')
+        except Exception:
+            logging.exception('resumed call %s failed', message.call_id)
+            call.abort(errors.ErrorKind.INTERNAL, 'the agent failed')
         finally:
-            if self._running.get(message.call_id) is call:
-                del self._running[message.call_id]
-            self._gate.leave()
-            if not is_answered and not call.is_detached:
-                await self._backend.cancel(message.call_id)
+            await self._finish(call, is_answered)
 
     async def _cancel_claim(
         self,
@@ -220,7 +332,12 @@
         self, conn: connection.PeerConnection, message: ttypes.CancelCall
     ) -> None:
         call = self._running.get(message.call_id)
-        if call is not None and not call.is_claimed:
+        if call is None:
+            # Its dispatch may still wait for the table or for a load report.
+            self._cancelled[message.call_id] = None
+            while len(self._cancelled) > MAX_REMEMBERED_CANCELS:
+                self._cancelled.popitem(last=False)
+        elif not call.is_claimed and call.attempt <= message.attempt:
             call.cancel()
 
     def _window(
@@ -233,7 +350,10 @@
     def _connection_closed(self, conn: connection.PeerConnection) -> None:
         loop = asyncio.get_running_loop()
         for call in list(self._running.values()):
-            if call.conn is conn and not call.is_claimed:
+            if call.conn is not conn:
+                continue
+            call.connection_closed()
+            if not call.is_claimed:
                 loop.call_later(RESUME_GRACE_S, self._give_up, call)
 
     def _give_up(self, call: RunningCall) -> None:
@@ -241,14 +361,33 @@
             call.cancel()
 
 
+class _Ended:
+    """A stream that was sent whole, until the entry is known to have it."""
+
+    def __init__(self, conn: connection.PeerConnection) -> None:
+        self._conn = conn
+        self._at_ms = time.monotonic_ns() // 1_000_000
+        self.expires_s = time.monotonic() + RESUME_GRACE_S
+
+    def has_arrived(self) -> bool:
+        """Return whether a heartbeat sent later was echoed."""
+        return self._conn.echoed_ms > self._at_ms
+
+
 class RunningCall:
-    """One call in progress and the flow control of its answer."""
+    """One call in progress and the flow control of its answer.
+
+    :ivar ticket: its place at the gate; None while another attempt has it.
+    :ivar epoch: the ramp's epoch in which it started.
+    :ivar offset: position of the next byte to be sent.
+    """
 
     def __init__(
         self,
         conn: connection.PeerConnection,
         message: ttypes.Dispatch | ttypes.Resume,
-        backend: registry.Backend,
+        ticket: int | None,
+        epoch: int,
     ) -> None:
         self.conn = conn
         self.call_id = message.call_id
@@ -256,22 +395,19 @@
         self.is_claimed = getattr(message, 'claim', None) is not None
         self.never_reached_target = False
         self.task: asyncio.Task[None] | None = None
+        self.ticket = ticket
+        self.epoch = epoch
+        self.offset = 0
+        self.is_stream = False
+        self.is_detached = False
+        self._has_begun = False
+        self._is_cancelled = False
         self._credit = message.window_bytes
         self._credit_added = asyncio.Event()
-        self.is_detached = False
 
-    async def relay(
-        self,
-        answer: registry.BackendAnswer,
-        offset: int,
-        record: Callable[[bytes], None] | None,
-    ) -> None:
-        """Send head, body and end of *answer*, as credit allows.
-
-        :param offset: position of the first byte that *answer* yields.
-        :param record: called with each piece of the body, if given; then
-            the whole body is read even if the entry is gone.
-        """
+    def send_head(self, answer: registry.BackendAnswer) -> None:
+        """Send status and headers."""
+        self.is_stream = answer.is_stream
         self._post(
             ttypes.ResponseHead(
                 self.call_id,
@@ -280,19 +416,36 @@
                 dict(answer.headers),
             )
         )
+
+    async def send_body(
+        self,
+        answer: registry.BackendAnswer,
+        record: Callable[[bytes], None] | None,
+    ) -> None:
+        """Send the body as credit and the socket allow.
+
+        :param record: called with each piece of the body, if given; then
+            the whole body is read even if the entry is gone.
+        """
         async for data in answer.chunks:
             if record is not None:
                 record(data)
-            await self._send(data, offset)
-            offset += len(data)
-        self._post(ttypes.End(self.call_id, self.attempt, offset))
+            for start in range(0, len(data), MAX_CHUNK_BYTES):
+                await self._send(data[start : start + MAX_CHUNK_BYTES])
+
+    def send_end(self) -> None:
+        """Send the number of bytes, which ends the answer."""
+        self._post(ttypes.End(self.call_id, self.attempt, self.offset))
 
-    async def _send(self, data: bytes, offset: int) -> None:
+    async def _send(self, data: bytes) -> None:
         while self._credit <= 0 and not self._may_skip():
             self._credit_added.clear()
             await self._credit_added.wait()
         self._credit -= len(data)
-        self._post(ttypes.Chunk(self.call_id, self.attempt, offset, data))
+        self._post(ttypes.Chunk(self.call_id, self.attempt, self.offset, data))
+        self.offset += len(data)
+        with contextlib.suppress(connection.ConnectionLost):
+            await self.conn.drain()
 
     def _may_skip(self) -> bool:
         """Return whether the answer is read on for the record only."""
@@ -304,7 +457,7 @@
 
     def add_credit(self, count: int) -> None:
         """Allow *count* more bytes to be sent."""
-        self._credit += count
+        self._credit += max(0, count)
         self._credit_added.set()
 
     def abort(self, kind: errors.ErrorKind, message: str) -> None:
@@ -316,14 +469,37 @@
                 ttypes.Abort(self.call_id, self.attempt, kind.value, message)
             )
 
+    def begin(self) -> None:
+        """Note that the task runs; raises CancelledError if it must not.
+
+        A task that is cancelled before its first step would skip its own
+        clean-up, so until then a cancellation is only noted.
+        """
+        self._has_begun = True
+        if self._is_cancelled:
+            raise asyncio.CancelledError
+
     def cancel(self) -> None:
         """Stop the call."""
-        if self.task is not None:
+        self._is_cancelled = True
+        if self._has_begun and self.task is not None:
             self.task.cancel()
 
+    def connection_closed(self) -> None:
+        """Wake a claimed call that waits for credit; none will come."""
+        self._credit_added.set()
+
     async def detach(self) -> None:
         """Stop relaying without an Abort; a newer attempt takes over."""
         self.is_detached = True
         self.cancel()
         if self.task is not None:
             await asyncio.gather(self.task, return_exceptions=True)
+
+
+def _check_role(conn: connection.PeerConnection) -> None:
+    if conn.peer.role != ttypes.Role.ENTRY:
+        raise errors.Refusal(
+            errors.ErrorKind.FORBIDDEN,
+            f'{conn.peer.node} is not an entry; only entries may send calls',
+        )
--- a/src/wagtailhollow/internal/agent/compose.py
+++ b/src/wagtailhollow/internal/agent/compose.py
@@ -17,13 +17,14 @@
 from ..platform import http_store
 from ..settings import schema
 from ..table import model, queries
-from ..wire import auth, connection, pool, server
+from ..wire import auth, connection, pool, server, tls
 from ..wire.gen import ttypes
 from . import calls, gate, ledger, ramp, watcher
 from .backends import model_engine, plain_service, registry
 
 CATCH_UP_TIMEOUT_S = 2.0
 EXPIRE_PERIOD_S = 5.0
+DRAIN_POLL_S = 0.05
 
 # The adapters register themselves when imported.
 _ADAPTERS = (model_engine, plain_service)
@@ -53,7 +54,15 @@
         )
         # Only an agent of a group needs the host list, to find its peers.
         self._hosts = document.VersionedDocument(hosts.HOSTS_DOCUMENT)
-        documents = {self._table.name: self._table}
+        # The entries send this agent's own row of the host list: the whole
+        # list would cost each of thousands of agents memory and traffic.
+        self._host = document.VersionedDocument(
+            hosts.own_row_document(cfg.node)
+        )
+        self._host.on_change(self._host_changed)
+        documents = {
+            item.name: item for item in (self._table, self._host)
+        }
         if cfg.group is not None:
             documents[self._hosts.name] = self._hosts
         self._sync = sync.DocumentSync(documents, self._handlers)
@@ -64,7 +73,7 @@
             cfg.data_centre, cfg.target, self._ramp, lambda: self._view
         )
         self._watcher = watcher.TargetWatcher(
-            self._backend, self._gate, self._ramp
+            self._backend, self._gate, self._ramp, self._announce
         )
         self._calls = calls.CallServer(
             cfg.target,
@@ -72,6 +81,7 @@
             self._backend,
             self._gate,
             self._ramp,
+            self._watcher,
             self._ledger,
             self._catch_up,
             self._load,
@@ -91,8 +101,10 @@
             auth.KeyRing(cfg.peer_keys_file),
             self._handlers,
             self._heartbeat,
+            tls.contexts(cfg.tls).server,
         )
         self._group = self._create_group(identity)
+        self._announced: tuple[int, int] = (ttypes.TargetState.STARTING, 0)
         self._http = http.HttpServer(
             http.operator_routes(self._not_ready_reason), cfg.listen_http
         )
@@ -114,13 +126,14 @@
     async def drain(self) -> None:
         """See :class:`lifecycle.Daemon`."""
         self._gate.draining = True
-        for conn in self._peers.connections.values():
-            conn.post(self._heartbeat(conn))
+        self._announce()
         deadline_s = time.monotonic() + self._cfg.drain_timeout_s
-        while self._calls.running and time.monotonic() < deadline_s:
-            await asyncio.sleep(0.05)
-        if self._calls.running:
-            logging.warning('%d calls are cut', self._calls.running)
+        while self._calls.unfinished and time.monotonic() < deadline_s:
+            await asyncio.sleep(DRAIN_POLL_S)
+        if self._calls.unfinished:
+            logging.warning('%d calls are cut', self._calls.unfinished)
+        for conn in self._peers.connections:
+            await conn.flush()
 
     async def stop(self) -> None:
         """See :class:`lifecycle.Daemon`."""
@@ -144,6 +157,7 @@
             auth.KeyRing(cfg.peer_keys_file),
             self._handlers,
             self._heartbeat,
+            tls.contexts(cfg.tls).client,
         )
         return expert_group.ExpertGroup(
             cfg,
@@ -168,13 +182,37 @@
     def _publish(self) -> None:
         if not self._table_start.is_confirmed:
             return
+        was_withdrawn = self._is_withdrawn()
         rows = self._direct.overlay(self._table.rows)
         self._view = queries.TableView(model.Table(self._table.version, rows))
         metrics.document_version.labels(self._table.name).set(
             self._table.version
         )
+        if was_withdrawn and not self._is_withdrawn():
+            # What the target bore before says little after a rest.
+            self._ramp.reset()
         row = self._view.target(self._cfg.target)
         self._ramp.set_limit(row.max_concurrent)
+        self._announce()
+
+    def _is_withdrawn(self) -> bool:
+        return self._view is not None and self._view.is_withdrawn(
+            self._cfg.data_centre, self._cfg.target
+        )
+
+    def _host_changed(self, change: document.Change) -> None:
+        row = self._host.rows.get(self._cfg.node, {})
+        self._gate.leaving = row.get('state') == hosts.LEAVING
+        self._announce()
+
+    def _announce(self) -> None:
+        """Send heartbeats at once if the target's state changed."""
+        found = (self._gate.state(), self._ramp.epoch)
+        if found == self._announced:
+            return
+        self._announced = found
+        for conn in self._peers.connections:
+            conn.beat()
 
     def _status(self) -> dict[str, object]:
         load = self._load()
@@ -204,7 +242,7 @@
     ) -> None:
         if version < self._table.version:
             # The entry fetches when it sees the newer version.
-            conn.post(self._heartbeat(conn))
+            conn.beat()
         if version <= self._table.version:
             return
         try:
@@ -239,10 +277,11 @@
             sent_at_ms=self._ledger.now_ms(),
             documents=self._sync.versions(),
             load=self._load(),
-            draining=self._gate.draining,
+            draining=self._gate.is_leaving,
         )
 
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_PERIOD_S)
             self._ledger.expire()
+            self._calls.expire()
--- a/src/wagtailhollow/internal/agent/gate.py
+++ b/src/wagtailhollow/internal/agent/gate.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import enum
+import itertools
+import time
 
 from ... import errors
 from ..observability import metrics
@@ -37,11 +39,28 @@
         self._target = target
         self._ramp = ramp
         self._table_view = table_view
-        self.running = 0
-        self.foreign_running = 0
+        self._tickets = itertools.count()
+        self._started_s: dict[int, float] = {}
+        self._foreign: int | None = None
         self.draining = False
+        self.leaving = False
         self.health = Health.UNKNOWN
 
+    @property
+    def running(self) -> int:
+        """Return the calls of this agent that run at the target."""
+        return len(self._started_s)
+
+    @property
+    def foreign_running(self) -> int:
+        """Return the calls that run there unknown to this agent."""
+        return self._foreign or 0
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether new calls are refused for good."""
+        return self.draining or self.leaving
+
     def check(self) -> None:
         """Raise Refusal if a new call may not start now."""
         view: queries.TableView | None = self._table_view()
@@ -49,7 +68,7 @@
             raise _refused(
                 errors.ErrorKind.NOT_READY, 'this agent has no table yet'
             )
-        if self.draining:
+        if self.is_leaving:
             raise _refused(
                 errors.ErrorKind.TARGET_DRAINING, 'the target is leaving'
             )
@@ -65,23 +84,48 @@
         if self.running + self.foreign_running >= self._ramp.cap:
             raise _refused(
                 errors.ErrorKind.TARGET_FULL,
-                f'{self.running} calls run, the cap is {self._ramp.cap}',
+                f'{self.running} calls run and {self.foreign_running} from '
+                f'before, the cap is {self._ramp.cap}',
             )
 
-    def enter(self) -> None:
-        """Count a call that passed :meth:`check`."""
-        self.running += 1
+    def enter(self) -> int:
+        """Count a call that passed :meth:`check`; return its ticket."""
+        ticket = next(self._tickets)
+        self._started_s[ticket] = time.monotonic()
         metrics.target_running.set(self.running)
+        return ticket
 
-    def leave(self) -> None:
-        """End the count of one call."""
-        self.running -= 1
+    def leave(self, ticket: int, is_running_on: bool = False) -> None:
+        """End the count of one call.
+
+        :param is_running_on: the target may still execute it; it is counted
+            as foreign until a report shows that it ended.
+        """
+        del self._started_s[ticket]
+        if is_running_on:
+            self._foreign = self.foreign_running + 1
         metrics.target_running.set(self.running)
 
+    def started_before(self, time_s: float) -> int:
+        """Return how many of the running calls started before *time_s*."""
+        return sum(start_s < time_s for start_s in self._started_s.values())
+
+    def observe_foreign(self, count: int) -> None:
+        """Take the upper bound on foreign calls that a report gives.
+
+        Only this agent starts calls, so their number never grows after the
+        first report; a higher figure means calls that the report counts and
+        that are too young to be subtracted.
+        """
+        count = max(0, count)
+        if self._foreign is not None:
+            count = min(self._foreign, count)
+        self._foreign = count
+
     def state(self) -> int:
         """Return the ``ttypes.TargetState`` for heartbeats."""
         view: queries.TableView | None = self._table_view()
-        if self.draining:
+        if self.is_leaving:
             return ttypes.TargetState.DRAINING
         if view is None or self.health is Health.UNKNOWN:
             return ttypes.TargetState.STARTING
--- a/src/wagtailhollow/internal/agent/ramp.py
+++ b/src/wagtailhollow/internal/agent/ramp.py
@@ -13,9 +13,20 @@
 FIRST_TOKEN_JUMP_FACTOR = 4.0
 FIRST_TOKEN_JUMP_MIN_MS = 200.0
 
+WARM_UPTIME_S = 10.0
+"""A target younger than this is cold, whatever it has completed."""
+
+WARM_COMPLETED_PER_CALL = 4
+"""Completed calls for each running one that show a warm target."""
+
 
 class Ramp:
-    """Cap for the calls that run at the target at the same time."""
+    """Cap for the calls that run at the target at the same time.
+
+    :ivar epoch: number of resets. A call that completes counts only in the
+        epoch in which it started: what a target finished before it turned
+        cold says nothing about what it bears now.
+    """
 
     def __init__(self, cfg: schema.RampSettings) -> None:
         self._cfg = cfg
@@ -23,6 +34,7 @@
         self._cap = float(cfg.initial_cap)
         self._completed_in_round = 0
         self._last: registry.BackendLoad | None = None
+        self.epoch = 0
 
     @property
     def cap(self) -> int:
@@ -34,17 +46,26 @@
         """Return the upper bound of the cap."""
         return self._limit
 
+    @property
+    def starts_per_report(self) -> int:
+        """Return how many calls may start between two load reports.
+
+        A target may turn cold right after a report, so no more may start
+        unseen than a cold target bears.
+        """
+        return self._cfg.initial_cap
+
     def set_limit(self, max_concurrent: int) -> None:
         """Bound the cap by the table's ``max_concurrent``."""
         self._limit = max(1, min(max_concurrent, self._cfg.max_cap))
 
-    def completed(self, running: int) -> None:
+    def completed(self, running: int, epoch: int) -> None:
         """Count a completed call; *running* calls were in progress.
 
         Only calls completed while at least half of the cap was in use show
         that the target bears it.
         """
-        if running * 2 < self.cap:
+        if epoch != self.epoch or running * 2 < self.cap:
             return
         self._completed_in_round += 1
         needed = max(self._cfg.completions_per_step, self.cap)
@@ -61,7 +82,10 @@
     def observe(self, load: registry.BackendLoad) -> bool:
         """Take a load report; return whether the cap was reset."""
         last, self._last = self._last, load
-        if last is None or not _turned_cold(last, load):
+        if last is None:
+            self._take_over(load)
+            return False
+        if not _turned_cold(last, load):
             return False
         self.reset()
         return True
@@ -70,6 +94,20 @@
         """Assume that the target is cold."""
         self._cap = float(self._cfg.initial_cap)
         self._completed_in_round = 0
+        self.epoch += 1
+
+    def _take_over(self, load: registry.BackendLoad) -> None:
+        """Start from what an earlier agent left running at a warm target.
+
+        The calls that run were admitted under its cap, and enough of them
+        were completed since the target started.
+        """
+        is_warm = (
+            load.uptime_s >= WARM_UPTIME_S
+            and load.completed >= WARM_COMPLETED_PER_CALL * load.running
+        )
+        if is_warm:
+            self._cap = max(self._cap, float(load.running))
 
 
 def _turned_cold(
--- a/src/wagtailhollow/internal/entry/attempts.py
+++ b/src/wagtailhollow/internal/entry/attempts.py
@@ -7,6 +7,8 @@
 import dataclasses
 import enum
 import itertools
+import time
+from collections.abc import Awaitable
 
 from absl import logging
 
@@ -18,11 +20,21 @@
 from ..wire.gen import ttypes
 from . import call as call_module
 
-WINDOW_BYTES = 256 * 1024
+WINDOW_BYTES = 16 * 1024
+"""Bytes of one answer that may wait in the entry. 2,048 slow readers hold
+32 MB; 256 KB each would exceed the memory of a node many times over."""
+
 DISPATCH_TIMEOUT_S = 3.0
 FRAME_TIMEOUT_S = 70.0
 RESUME_RETRY_S = 0.1
 
+RESUME_LIMIT_S = 30.0
+"""An engine keeps a stream without a reader for about this long."""
+
+MAX_HELD_BYTES = 64 * 1024
+"""An answer up to this size that is not a stream is sent when it is whole,
+so that a cut one can still be retried elsewhere."""
+
 
 class Phase(enum.Enum):
     """How far a failed attempt got, which decides what may follow."""
@@ -33,12 +45,19 @@
 
 
 class AttemptFailed(Exception):
-    """An attempt ended without the whole answer."""
+    """An attempt ended without the whole answer.
+
+    :ivar is_ended: whether the agent is known to have ended the call or
+        never to have started it; if not, it has to be cancelled there.
+    """
 
-    def __init__(self, phase: Phase, refusal: errors.Refusal) -> None:
+    def __init__(
+        self, phase: Phase, refusal: errors.Refusal, is_ended: bool = False
+    ) -> None:
         super().__init__(str(refusal))
         self.phase = phase
         self.refusal = refusal
+        self.is_ended = is_ended
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,25 +97,37 @@
         """
         conn = self._peers.get(attempt.candidate.address)
         if conn is None:
-            raise _failed(Phase.REFUSED, errors.ErrorKind.NO_TARGET, 'no peer')
+            raise _failed(
+                Phase.REFUSED, errors.ErrorKind.NO_TARGET, 'no peer', True
+            )
         target = attempt.candidate.target
         sink.served_by(attempt.candidate.data_centre)
+        relay = _Relay(attempt, sink)
         self._view.started(target)
         try:
-            with self._answers.expect(
-                conn, attempt.call.call_id, attempt.number
-            ) as queue:
-                await self._dispatch(conn, attempt)
-                relay = _Relay(attempt, sink)
-                is_whole = await relay.run(conn, queue)
-            if not is_whole:
-                await self._resume(attempt, relay)
-        except asyncio.CancelledError:
-            self._cancel(attempt)
+            with self._peers.hold(attempt.candidate.address):
+                await self._run_held(conn, attempt, relay)
+        except (asyncio.CancelledError, AttemptFailed) as exc:
+            if not getattr(exc, 'is_ended', False):
+                self._cancel(attempt, relay)
             raise
         finally:
             self._view.finished(target)
 
+    async def _run_held(
+        self,
+        conn: connection.PeerConnection,
+        attempt: Attempt,
+        relay: _Relay,
+    ) -> None:
+        with self._answers.expect(
+            conn, attempt.call.call_id, attempt.number
+        ) as queue:
+            await self._dispatch(conn, attempt)
+            is_whole = await relay.run(conn, queue)
+        if not is_whole:
+            await self._resume(attempt, relay)
+
     async def _dispatch(
         self, conn: connection.PeerConnection, attempt: Attempt
     ) -> None:
@@ -125,7 +156,7 @@
                 Phase.SENT, errors.ErrorKind.OUTCOME_UNKNOWN, repr(exc)
             ) from exc
         except errors.Refusal as exc:
-            raise AttemptFailed(Phase.REFUSED, exc) from exc
+            raise AttemptFailed(Phase.REFUSED, exc, True) from exc
         result = reply.kind or 'accepted'
         metrics.attempts.labels(call.service_name, result).inc()
         if reply.load is not None:
@@ -135,6 +166,7 @@
                 Phase.REFUSED,
                 errors.kind_from_wire(reply.kind),
                 reply.message or '',
+                is_ended=True,
             )
 
     async def _resume(self, attempt: Attempt, relay: _Relay) -> None:
@@ -143,10 +175,13 @@
         Only the engine stream that the caller already saw may go on; another
         generation would differ from it.
         """
-        if attempt.claim is not None or attempt.call.service.kind != 'model':
+        if attempt.claim is not None or not relay.can_resume:
             raise relay.failed('the connection to the agent ended')
+        limit_s = time.monotonic() + min(
+            RESUME_LIMIT_S, attempt.call.remaining_s()
+        )
         for number in itertools.count(1):
-            if attempt.call.remaining_s() <= 0:
+            if time.monotonic() >= limit_s:
                 raise relay.failed('the stream could not be resumed in time')
             conn = self._peers.get(attempt.candidate.address)
             if conn is not None and await self._resume_once(
@@ -163,7 +198,7 @@
         number: int,
     ) -> bool:
         call = attempt.call
-        relay.assembler.restart(number)
+        relay.restart(number)
         message = ttypes.Resume(
             call_id=call.call_id,
             attempt=number,
@@ -185,12 +220,18 @@
             metrics.resumed_streams.labels(call.service_name).inc()
             return await relay.run(conn, queue)
 
-    def _cancel(self, attempt: Attempt) -> None:
+    def _cancel(self, attempt: Attempt, relay: _Relay) -> None:
+        """Stop the call at the agent, which ignores this for claimed ones.
+
+        Without a connection the agent gives the call up by itself.
+        """
         conn = self._peers.get(attempt.candidate.address)
         if conn is not None:
             with contextlib.suppress(connection.ConnectionLost):
                 conn.post(
-                    ttypes.CancelCall(attempt.call.call_id, attempt.number)
+                    ttypes.CancelCall(
+                        attempt.call.call_id, relay.assembler.attempt
+                    )
                 )
 
 
@@ -202,8 +243,28 @@
         self._sink = sink
         self._head: ttypes.ResponseHead | None = None
         self._credit_due = 0
+        self._held = bytearray()
         self.assembler = assembler.StreamAssembler(attempt.number)
 
+    @property
+    def can_resume(self) -> bool:
+        """Return whether the rest of the answer may come over another path.
+
+        Only event streams are kept by an engine. A stream of which nothing
+        has arrived is rather started elsewhere, as its agent may be gone.
+        """
+        return (
+            self._attempt.call.service.kind == 'model'
+            and self._head is not None
+            and self._is_stream
+            and self.assembler.offset > 0
+        )
+
+    @property
+    def _is_stream(self) -> bool:
+        content_type = self._head.headers.get('content-type', '')
+        return 'event-stream' in content_type
+
     def failed(self, message: str) -> AttemptFailed:
         """Return the failure that fits how far the answer got."""
         if self._sink.is_started:
@@ -212,6 +273,11 @@
             )
         return _failed(Phase.SENT, errors.ErrorKind.OUTCOME_UNKNOWN, message)
 
+    def restart(self, number: int) -> None:
+        """Go on with another attempt, which starts with a full window."""
+        self.assembler.restart(number)
+        self._credit_due = 0
+
     async def run(
         self, conn: connection.PeerConnection, queue: asyncio.Queue
     ) -> bool:
@@ -238,6 +304,8 @@
     ) -> bool:
         if isinstance(frame, ttypes.Chunk):
             await self._write(conn, self.assembler.accept(frame))
+        elif frame.attempt != self.assembler.attempt:
+            return False
         elif isinstance(frame, ttypes.ResponseHead):
             self._head = self._head or frame
         elif isinstance(frame, ttypes.Abort):
@@ -245,23 +313,22 @@
         elif not self.assembler.is_complete(frame):
             raise assembler.StreamGap('the end came before the last bytes')
         else:
-            await self._write(conn, b'')
-            await self._sink.finish()
+            await self._send_held(conn)
+            await self._in_time(self._sink.finish())
             return True
         return False
 
     async def _write(
         self, conn: connection.PeerConnection, data: bytes
     ) -> None:
-        if not self._sink.is_started:
-            head = self._head
-            if head is None:
-                raise assembler.StreamGap('the head of the answer is missing')
-            await self._sink.start(head.status, head.headers)
+        if self._head is None:
+            raise assembler.StreamGap('the head of the answer is missing')
         if not data:
             return
-        await self._sink.write(data)
+        self._held += data
         self._credit_due += len(data)
+        if self._is_stream or len(self._held) > MAX_HELD_BYTES:
+            await self._send_held(conn)
         # One Window for many chunks: a message for each token would cost as
         # much as the token itself.
         if self._credit_due >= WINDOW_BYTES // 4:
@@ -274,16 +341,43 @@
             )
             self._credit_due = 0
 
+    async def _send_held(self, conn: connection.PeerConnection) -> None:
+        if self._head is None:
+            raise assembler.StreamGap('the head of the answer is missing')
+        if not self._sink.is_started:
+            await self._in_time(
+                self._sink.start(self._head.status, self._head.headers)
+            )
+        if self._held:
+            data, self._held = bytes(self._held), bytearray()
+            await self._in_time(self._sink.write(data))
+
+    async def _in_time(self, sending: Awaitable[None]) -> None:
+        """Bound the time that a caller who does not read holds resources."""
+        remaining_s = max(0.0, self._attempt.call.remaining_s())
+        try:
+            async with asyncio.timeout(remaining_s):
+                await sending
+        except TimeoutError:
+            raise _failed(
+                Phase.ANSWERING,
+                errors.ErrorKind.DEADLINE_EXCEEDED,
+                'the caller did not read the answer in time',
+            ) from None
+
     def _aborted(self, frame: ttypes.Abort) -> None:
         kind = errors.kind_from_wire(frame.kind)
         if self._sink.is_started:
-            raise _failed(Phase.ANSWERING, kind, frame.message)
+            raise _failed(Phase.ANSWERING, kind, frame.message, True)
         is_certain = errors.ANSWERS[kind].execution is errors.Execution.NOT_RUN
         phase = Phase.REFUSED if is_certain else Phase.SENT
-        raise _failed(phase, kind, frame.message)
+        raise _failed(phase, kind, frame.message, True)
 
 
 def _failed(
-    phase: Phase, kind: errors.ErrorKind, message: str
+    phase: Phase,
+    kind: errors.ErrorKind,
+    message: str,
+    is_ended: bool = False,
 ) -> AttemptFailed:
-    return AttemptFailed(phase, errors.Refusal(kind, message))
+    return AttemptFailed(phase, errors.Refusal(kind, message), is_ended)
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -26,9 +26,9 @@
 from ..settings import schema
 from ..streams import incoming
 from ..table import model, queries
-from ..wire import auth, connection, pool, server
+from ..wire import auth, connection, pool, server, tls
 from ..wire.gen import ttypes
-from . import admission, app, attempts, calls, claimed_calls
+from . import admission, app, attempts, calls, claimed_calls, host_rows
 
 PEERS_PERIOD_S = 0.5
 """How often the wanted peers are worked out: liveness changes with time."""
@@ -86,11 +86,23 @@
             cfg.listen_peers,
         )
         key_ring = auth.KeyRing(cfg.peer_keys_file)
+        contexts = tls.contexts(cfg.tls)
         self._peers = pool.PeerPool(
-            identity, key_ring, self._handlers, self._heartbeat
+            identity,
+            key_ring,
+            self._handlers,
+            self._heartbeat,
+            contexts.client,
         )
         self._server = server.PeerServer(
-            identity, key_ring, self._handlers, self._heartbeat
+            identity,
+            key_ring,
+            self._handlers,
+            self._heartbeat,
+            contexts.server,
+        )
+        self._host_rows = host_rows.HostRows(
+            self._hosts, self._peers, self._load_view, self._handlers
         )
         answers = incoming.IncomingAnswers(self._handlers)
         runner = attempts.AttemptRunner(self._peers, answers, self._load_view)
@@ -249,7 +261,7 @@
     def _all_peers(self) -> list[connection.PeerConnection]:
         accepted = [
             conn
-            for conn in self._server.connections.values()
+            for conn in self._server.connections
             if conn.peer.role == ttypes.Role.ENTRY
         ]
         return [*self._peers.open_connections(), *accepted]
--- /dev/null
+++ b/src/wagtailhollow/internal/entry/host_rows.py
@@ -0,0 +1,58 @@
+"""Acts on the states in the host list: whom to choose, whom to tell."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+
+from ..distribution import document
+from ..membership import hosts
+from ..routing import load_view
+from ..wire import connection, pool
+from ..wire.gen import ttypes
+
+
+class HostRows:
+    """Follows the host list on behalf of an entry.
+
+    An agent that the list names as leaving is not chosen any more and is told
+    so, because it does not read the list itself: its own row is sent to it
+    when the row changes and on each new connection.
+    """
+
+    def __init__(
+        self,
+        host_list: document.VersionedDocument,
+        peers: pool.PeerPool,
+        view: load_view.LoadView,
+        handlers: connection.Handlers,
+    ) -> None:
+        self._list = host_list
+        self._peers = peers
+        self._view = view
+        host_list.on_change(self._changed)
+        handlers.opened.append(self._tell)
+
+    def _changed(self, change: document.Change) -> None:
+        rows = hosts.from_rows(self._list.rows)
+        agents = [row for row in rows if row.role == 'agent']
+        self._view.set_serving(
+            row.node for row in agents if row.state != hosts.LEAVING
+        )
+        for conn in self._peers.open_connections():
+            if conn.peer.node in change.rows:
+                self._tell(conn)
+
+    def _tell(self, conn: connection.PeerConnection) -> None:
+        row = self._list.rows.get(conn.peer.node)
+        if row is None or conn.peer.role != ttypes.Role.AGENT:
+            return
+        message = ttypes.DocumentDelta(
+            name=hosts.own_row_document(conn.peer.node),
+            from_version=0,
+            to_version=self._list.version,
+            rows=json.dumps({conn.peer.node: row}).encode(),
+            removed=[],
+        )
+        with contextlib.suppress(connection.ConnectionLost):
+            conn.post(message)
--- a/src/wagtailhollow/internal/membership/hosts.py
+++ b/src/wagtailhollow/internal/membership/hosts.py
@@ -9,6 +9,7 @@
 from ..platform import api
 
 HOSTS_DOCUMENT = 'hosts'
+LEAVING = 'leaving'
 
 _FIELDS = frozenset(field.name for field in dataclasses.fields(api.HostRow))
 
@@ -18,6 +19,11 @@
     return {host.node: dataclasses.asdict(host) for host in hosts}
 
 
+def own_row_document(node: str) -> str:
+    """Return the name of the document with only the row of *node*."""
+    return f'host/{node}'
+
+
 def from_rows(rows: Mapping[str, Mapping[str, Any]]) -> list[api.HostRow]:
     """Return document rows as typed rows, without unknown columns."""
     return [
--- a/src/wagtailhollow/internal/routing/load_view.py
+++ b/src/wagtailhollow/internal/routing/load_view.py
@@ -13,7 +13,7 @@
 import collections
 import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..wire import auth
 from ..wire.gen import ttypes
@@ -53,6 +53,7 @@
         self._outstanding: dict[str, _History] = collections.defaultdict(
             _History
         )
+        self._serving: frozenset[str] | None = None
 
     def take(
         self,
@@ -63,9 +64,28 @@
     ) -> None:
         """Store a report that arrived now and was made *age_s* ago."""
         self._reports[load.target] = Report(
-            load, agent, self._clock() - age_s, draining
+            load,
+            agent,
+            self._clock() - age_s,
+            draining or not self._is_serving(agent.node),
         )
 
+    def set_serving(self, nodes: Iterable[str]) -> None:
+        """Take the agents that the host list names and that do not leave.
+
+        Reports of all others count as draining.
+        """
+        self._serving = frozenset(nodes)
+        self._reports = {
+            target: report
+            if self._is_serving(report.agent.node)
+            else dataclasses.replace(report, draining=True)
+            for target, report in self._reports.items()
+        }
+
+    def _is_serving(self, node: str) -> bool:
+        return self._serving is None or node in self._serving
+
     def forget(self, node: str) -> None:
         """Drop the reports of an agent whose connection ended."""
         self._reports = {
--- a/src/wagtailhollow/internal/settings/schema.py
+++ b/src/wagtailhollow/internal/settings/schema.py
@@ -71,6 +71,15 @@
     call_deadline_s: float = _seconds(300.0, 0.1, 3600.0)
 
 
+@dataclasses.dataclass(frozen=True)
+class TlsSettings:
+    """TLS between peers; every process of a deployment has it or none."""
+
+    ca_file: str = loader.setting(allowed='path of the CA certificates (PEM)')
+    cert_file: str = loader.setting(allowed='path of the certificate (PEM)')
+    key_file: str = loader.setting(allowed='path of the private key (PEM)')
+
+
 @dataclasses.dataclass(frozen=True)
 class EntrySettings:
     """Settings of the entry daemon."""
@@ -90,6 +99,7 @@
     limit_method: str = loader.setting(
         'owner_blocks', allowed='the name of a limit method'
     )
+    tls: TlsSettings | None = loader.setting(None, allowed='an object or null')
     drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
     log_level: str = _log_level()
 
@@ -171,6 +181,7 @@
     experts: ExpertSettings = loader.setting(
         ExpertSettings(), allowed='an object'
     )
+    tls: TlsSettings | None = loader.setting(None, allowed='an object or null')
     drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
     log_level: str = _log_level()
 
@@ -193,6 +204,7 @@
     platform_url: str = loader.setting(allowed=_URL, check=loader.is_url)
     peer_keys_file: str = loader.setting(allowed='path of the key file')
     seed_peers: tuple[str, ...] = _addresses()
+    tls: TlsSettings | None = loader.setting(None, allowed='an object or null')
     timeout_s: float = _seconds(10.0, 0.1, 600.0)
 
 
--- a/src/wagtailhollow/internal/wire/auth.py
+++ b/src/wagtailhollow/internal/wire/auth.py
@@ -17,6 +17,7 @@
 import os
 import pathlib
 import secrets
+from collections.abc import Mapping
 
 import json5
 
@@ -110,22 +111,24 @@
 
     :raises Refusal: PROTOCOL_VERSION, FORBIDDEN or BAD_FRAME.
     """
+    # One snapshot: the key file may be replaced during the handshake.
+    keys = dict(key_ring.keys())
     async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
-        own = _hello(local, key_ring)
+        own = _hello(local, keys)
         own_frame = codec.encode(own)
         writer.write(own_frame)
         await writer.drain()
-        peer_payload = await codec.read_frame(reader)
+        peer_payload = await _read(reader)
         peer = _checked_hello(codec.decode(peer_payload).message, own)
         hellos = [own_frame[4:], peer_payload]
         if not is_client:
             hellos.reverse()
         key_id = _common_key(own, peer, is_client)
-        secret = key_ring.keys()[key_id]
+        secret = keys[key_id]
         proof = _mac(secret, is_client, hellos)
         writer.write(codec.encode(ttypes.HelloProof(key_id, proof)))
         await writer.drain()
-        received = codec.decode(await codec.read_frame(reader)).message
+        received = codec.decode(await _read(reader)).message
     if isinstance(received, ttypes.Reject):
         raise errors.Refusal(
             errors.kind_from_wire(received.kind), received.message
@@ -147,7 +150,11 @@
     )
 
 
-def _hello(local: Identity, key_ring: KeyRing) -> ttypes.Hello:
+async def _read(reader: asyncio.StreamReader) -> bytes:
+    return await codec.read_frame(reader, codec.MAX_HANDSHAKE_FRAME_BYTES)
+
+
+def _hello(local: Identity, keys: Mapping[str, bytes]) -> ttypes.Hello:
     return ttypes.Hello(
         protocol=PROTOCOL_VERSION,
         node=local.node,
@@ -156,7 +163,7 @@
         deployment=local.deployment,
         incarnation=local.incarnation,
         nonce=secrets.token_bytes(NONCE_BYTES),
-        key_ids=list(key_ring.keys()),
+        key_ids=list(keys),
         address=local.address,
     )
 
--- a/src/wagtailhollow/internal/wire/codec.py
+++ b/src/wagtailhollow/internal/wire/codec.py
@@ -14,6 +14,9 @@
 from .gen import ttypes
 
 MAX_FRAME_BYTES = 2 * 1024 * 1024
+MAX_HANDSHAKE_FRAME_BYTES = 16 * 1024
+"""Bound while the peer is unproven, so that it cannot make us buffer more."""
+
 _LENGTH = struct.Struct('>I')
 
 _FIELD_OF_TYPE: dict[type, str] = {
@@ -124,17 +127,18 @@
     return message
 
 
-async def read_frame(reader: asyncio.StreamReader) -> bytes:
+async def read_frame(
+    reader: asyncio.StreamReader, max_bytes: int = MAX_FRAME_BYTES
+) -> bytes:
     """Read one frame and return it without its length.
 
     :raises Refusal: BAD_FRAME if the announced length is over the limit.
     :raises asyncio.IncompleteReadError: if the connection ends.
     """
     (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
-    if length > MAX_FRAME_BYTES:
+    if length > max_bytes:
         raise errors.Refusal(
             errors.ErrorKind.BAD_FRAME,
-            f'a frame of {length} bytes exceeds the limit of '
-            f'{MAX_FRAME_BYTES}',
+            f'a frame of {length} bytes exceeds the limit of {max_bytes}',
         )
     return await reader.readexactly(length)
--- a/src/wagtailhollow/internal/wire/connection.py
+++ b/src/wagtailhollow/internal/wire/connection.py
@@ -12,19 +12,38 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import itertools
+import ssl
 from collections.abc import Awaitable, Callable
 
 from absl import logging
 
 from ... import errors
+from ..observability import metrics
 from . import auth, codec
 from .gen import ttypes
 
 HEARTBEAT_PERIOD_S = 1.0
 SILENCE_LIMIT_S = 3.0
+MIN_SLEEP_S = 0.05
 MAX_CONCURRENT_REQUESTS = 1024
 WRITE_BUFFER_LIMIT_BYTES = 4 * 1024 * 1024
+CALL_DATA = frozenset(
+    {
+        ttypes.Dispatch,
+        ttypes.ResponseHead,
+        ttypes.Chunk,
+        ttypes.End,
+        ttypes.Abort,
+    }
+)
+"""Messages that carry calls; all others count as control traffic."""
+
+FLUSH_POLL_S = 0.02
+
+_CONTROL_SENT = metrics.peer_bytes.labels('sent')
+_CONTROL_RECEIVED = metrics.peer_bytes.labels('received')
 
 RequestHandler = Callable[
     ['PeerConnection', codec.Message], Awaitable[codec.Message]
@@ -74,7 +93,11 @@
 
 
 class PeerConnection:
-    """An established connection to a proven peer."""
+    """An established connection to a proven peer.
+
+    :ivar echoed_ms: ``sent_at_ms`` of the last heartbeat that the peer is
+        known to have received, and with it everything sent before.
+    """
 
     def __init__(
         self,
@@ -87,6 +110,8 @@
         self.peer = peer
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.echoed_ms = 0
+        self._last_beat_ms: int | None = None
         self._reader = reader
         self._writer = writer
         self._handlers = handlers
@@ -110,13 +135,36 @@
 
     def post(self, message: codec.Message) -> None:
         """Send a one-way message without waiting for the socket."""
-        self._write(codec.encode(message))
+        self._send(message)
+
+    def beat(self) -> None:
+        """Send a heartbeat now, with the echo of the peer's last one."""
+        beat = self._heartbeat(self)
+        beat.echo_sent_at_ms = self._last_beat_ms
+        with contextlib.suppress(ConnectionLost):
+            self.post(beat)
+
+    async def drain(self) -> None:
+        """Wait while the socket is congested.
+
+        :raises ConnectionLost: the connection ended meanwhile.
+        """
+        try:
+            await self._writer.drain()
+        except OSError as exc:
+            raise ConnectionLost(self._close_reason or repr(exc)) from exc
+
+    async def flush(self) -> None:
+        """Wait until everything is handed to the system or it closed."""
+        transport = self._writer.transport
+        while not self._closed and transport.get_write_buffer_size():
+            await asyncio.sleep(FLUSH_POLL_S)
 
     async def send(self, message: codec.Message) -> None:
         """Send a one-way message and wait while the socket is congested."""
-        self._write(codec.encode(message))
-        with contextlib.suppress(ConnectionError):
-            await self._writer.drain()
+        self._send(message)
+        with contextlib.suppress(ConnectionLost):
+            await self.drain()
 
     async def request(
         self, message: codec.Message, timeout_s: float
@@ -131,7 +179,7 @@
         fut = asyncio.get_running_loop().create_future()
         self._waiting[request_id] = fut
         try:
-            self._write(codec.encode(message, request_id))
+            self._send(message, request_id)
             async with asyncio.timeout(timeout_s):
                 reply = await fut
         finally:
@@ -152,12 +200,23 @@
                 payload = await codec.read_frame(self._reader)
                 self.bytes_received += len(payload) + 4
                 self._last_received = asyncio.get_running_loop().time()
-                self._handle(codec.decode(payload))
-        except (asyncio.IncompleteReadError, ConnectionError) as exc:
+                received = codec.decode(payload)
+                if type(received.message) not in CALL_DATA:
+                    _CONTROL_RECEIVED.inc(len(payload) + 4)
+                if type(received.message) is ttypes.Heartbeat:
+                    self._last_beat_ms = received.message.sent_at_ms
+                    self.echoed_ms = received.message.echo_sent_at_ms or 0
+                self._handle(received)
+        except (asyncio.IncompleteReadError, OSError) as exc:
             self.close(f'closed by the peer ({type(exc).__name__})')
         except errors.Refusal as exc:
             self._write_reject(0, exc)
             self.close(str(exc))
+        except Exception as exc:
+            # A fault in one handler ends this connection only; the task that
+            # keeps the connection open has to survive it.
+            logging.exception('a message handler failed')
+            self.close(repr(exc))
         finally:
             beat.cancel()
             self.close('reader stopped')
@@ -185,6 +244,17 @@
                 1.0, self._writer.transport.abort
             )
 
+    def _send(
+        self,
+        message: codec.Message,
+        request_id: int = 0,
+        is_reply: bool = False,
+    ) -> None:
+        frame = codec.encode(message, request_id, is_reply)
+        self._write(frame)
+        if type(message) not in CALL_DATA:
+            _CONTROL_SENT.inc(len(frame))
+
     def _write(self, frame: bytes) -> None:
         if self._closed:
             raise ConnectionLost(self._close_reason)
@@ -196,12 +266,10 @@
 
     def _write_reject(self, request_id: int, exc: errors.Refusal) -> None:
         with contextlib.suppress(ConnectionLost):
-            self._write(
-                codec.encode(
-                    ttypes.Reject(exc.kind.value, exc.message),
-                    request_id,
-                    is_reply=True,
-                )
+            self._send(
+                ttypes.Reject(exc.kind.value, exc.message),
+                request_id,
+                is_reply=True,
             )
 
     def _handle(self, received: codec.Received) -> None:
@@ -240,9 +308,7 @@
     ) -> None:
         try:
             reply = await handler(self, received.message)
-            self._write(
-                codec.encode(reply, received.request_id, is_reply=True)
-            )
+            self._send(reply, received.request_id, is_reply=True)
         except errors.Refusal as exc:
             self._write_reject(received.request_id, exc)
         except ConnectionLost:
@@ -255,11 +321,12 @@
     async def _send_heartbeats(self) -> None:
         loop = asyncio.get_running_loop()
         while not self._closed:
-            with contextlib.suppress(ConnectionLost):
-                self.post(self._heartbeat(self))
-            await asyncio.sleep(HEARTBEAT_PERIOD_S)
+            self.beat()
             silent_s = loop.time() - self._last_received
-            if silent_s > SILENCE_LIMIT_S:
+            left_s = max(MIN_SLEEP_S, SILENCE_LIMIT_S - silent_s)
+            await asyncio.sleep(min(HEARTBEAT_PERIOD_S, left_s))
+            silent_s = loop.time() - self._last_received
+            if silent_s >= SILENCE_LIMIT_S:
                 self.close(f'silent for {silent_s:.1f} s')
                 self._writer.transport.abort()
 
@@ -270,19 +337,26 @@
     key_ring: auth.KeyRing,
     handlers: Handlers,
     heartbeat: HeartbeatSource,
+    tls: ssl.SSLContext | None = None,
     timeout_s: float = 3.0,
 ) -> PeerConnection:
     """Connect to *address* (``host:port``) and prove both ends.
 
+    The peer's identity gets the address that was dialled: it is the one that
+    works from here, whatever the peer itself listens on.
+
     :raises OSError, TimeoutError: the peer cannot be reached.
     :raises Refusal: the proof failed.
     """
     host, _, port = address.rpartition(':')
     async with asyncio.timeout(timeout_s):
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await asyncio.open_connection(
+            host, int(port), ssl=tls
+        )
     try:
         peer = await auth.handshake(reader, writer, local, key_ring, True)
     except BaseException:
         writer.transport.abort()
         raise
+    peer = dataclasses.replace(peer, address=address)
     return PeerConnection(reader, writer, peer, handlers, heartbeat)
--- a/src/wagtailhollow/internal/wire/pool.py
+++ b/src/wagtailhollow/internal/wire/pool.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+import contextlib
 import random
-from collections.abc import Iterable
+import ssl
+from collections.abc import Iterable, Iterator
 
 from absl import logging
 
@@ -13,6 +16,7 @@
 
 RECONNECT_MIN_S = 0.1
 RECONNECT_MAX_S = 2.0
+RELEASE_POLL_S = 0.1
 
 
 class PeerPool:
@@ -24,22 +28,46 @@
         key_ring: auth.KeyRing,
         handlers: connection.Handlers,
         heartbeat: connection.HeartbeatSource,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
+        self._tls = tls
+        self._holds: collections.Counter[str] = collections.Counter()
+        self._releasing: set[asyncio.Task[None]] = set()
         self._local = local
         self._key_ring = key_ring
         self._handlers = handlers
         self._heartbeat = heartbeat
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._by_address: dict[str, connection.PeerConnection] = {}
+        self._wanted: set[str] = set()
 
     def want(self, addresses: Iterable[str]) -> None:
-        """Connect to *addresses* and drop connections to all others."""
-        wanted = set(addresses)
-        for address in set(self._tasks) - wanted:
-            self._tasks.pop(address).cancel()
-        for address in wanted - set(self._tasks):
+        """Connect to *addresses* and drop connections to all others.
+
+        A connection that calls still hold is dropped once they are done.
+        """
+        self._wanted = set(addresses)
+        for address in set(self._tasks) - self._wanted:
+            if self._holds[address]:
+                task = asyncio.create_task(self._release(address))
+                self._releasing.add(task)
+                task.add_done_callback(self._releasing.discard)
+            else:
+                self._tasks.pop(address).cancel()
+        for address in self._wanted - set(self._tasks):
             self._tasks[address] = asyncio.create_task(self._keep(address))
 
+    @contextlib.contextmanager
+    def hold(self, address: str) -> Iterator[None]:
+        """Keep the connection to *address*, wanted or not, meanwhile."""
+        self._holds[address] += 1
+        try:
+            yield
+        finally:
+            self._holds[address] -= 1
+            if not self._holds[address]:
+                del self._holds[address]
+
     def get(self, address: str) -> connection.PeerConnection | None:
         """Return the open connection to *address*, if there is one."""
         conn = self._by_address.get(address)
@@ -63,6 +91,7 @@
     async def stop(self) -> None:
         """Close all connections."""
         tasks = list(self._tasks.values())
+        self._holds.clear()
         self.want([])
         await asyncio.gather(*tasks, return_exceptions=True)
 
@@ -73,8 +102,15 @@
             self._key_ring,
             self._handlers,
             self._heartbeat,
+            self._tls,
         )
 
+    async def _release(self, address: str) -> None:
+        while self._holds[address]:
+            await asyncio.sleep(RELEASE_POLL_S)
+        if address not in self._wanted and address in self._tasks:
+            self._tasks.pop(address).cancel()
+
     async def _keep(self, address: str) -> None:
         delay_s = RECONNECT_MIN_S
         while True:
@@ -86,7 +122,8 @@
                     await conn.run()
                 finally:
                     conn.close('no longer wanted')
-                    self._by_address.pop(address, None)
+                    if self._by_address.get(address) is conn:
+                        del self._by_address[address]
                 logging.info(
                     'connection to %s ended: %s', address, conn.close_reason
                 )
--- a/src/wagtailhollow/internal/wire/server.py
+++ b/src/wagtailhollow/internal/wire/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ssl
 
 from absl import logging
 
@@ -11,7 +12,8 @@
 from . import auth, codec, connection
 from .gen import ttypes
 
-MAX_PEER_CONNECTIONS = 1024
+MAX_PEER_CONNECTIONS = 512
+"""The agents of a group of 256 ranks connect to each other, besides entries."""
 
 
 class PeerServer:
@@ -23,25 +25,34 @@
         key_ring: auth.KeyRing,
         handlers: connection.Handlers,
         heartbeat: connection.HeartbeatSource,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
+        self._tls = tls
         self._local = local
         self._key_ring = key_ring
         self._handlers = handlers
         self._heartbeat = heartbeat
         self._server: asyncio.Server | None = None
         self._count = 0
-        self.connections: dict[str, connection.PeerConnection] = {}
+        self._connections: set[connection.PeerConnection] = set()
+
+    @property
+    def connections(self) -> list[connection.PeerConnection]:
+        """Return the open connections; a peer may have several."""
+        return [conn for conn in self._connections if conn.is_open]
 
     async def start(self, host: str, port: int) -> int:
         """Listen and return the port, which the system chooses for 0."""
-        self._server = await asyncio.start_server(self._accept, host, port)
+        self._server = await asyncio.start_server(
+            self._accept, host, port, ssl=self._tls
+        )
         return self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
-        for conn in list(self.connections.values()):
+        for conn in self.connections:
             conn.close('this process stops')
 
     async def _accept(
@@ -78,9 +89,8 @@
         conn = connection.PeerConnection(
             reader, writer, peer, self._handlers, self._heartbeat
         )
-        self.connections[peer.node] = conn
+        self._connections.add(conn)
         try:
             await conn.run()
         finally:
-            if self.connections.get(peer.node) is conn:
-                del self.connections[peer.node]
+            self._connections.discard(conn)
