Prove that cold targets are not overrun

A lost cache is recognised when less than half of it is left, because calls that started since the loss put prefixes into it again.

--- a/src/wagtailhollow/internal/agent/ramp.py
+++ b/src/wagtailhollow/internal/agent/ramp.py
@@ -13,6 +13,9 @@
 FIRST_TOKEN_JUMP_FACTOR = 4.0
 FIRST_TOKEN_JUMP_MIN_MS = 200.0
 
+CACHE_DROP_SHARE = 0.5
+"""A cache that keeps less than this share since the last report was lost."""
+
 WARM_UPTIME_S = 10.0
 """A target younger than this is cold, whatever it has completed."""
 
@@ -118,7 +121,8 @@
         or load.uptime_s < last.uptime_s
         or load.completed < last.completed
     )
-    emptied = last.cached_prefixes > 0 and load.cached_prefixes == 0
+    # Calls that started since may have put something into an emptied cache.
+    emptied = load.cached_prefixes < last.cached_prefixes * CACHE_DROP_SHARE
     jumped = (
         last.first_token_ms > 0
         and load.first_token_ms > FIRST_TOKEN_JUMP_MIN_MS
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -313,7 +313,10 @@
         if conn.peer.role == ttypes.Role.ENTRY:
             self._duty.closed(conn.peer, conn)
         elif conn.peer.role == ttypes.Role.AGENT:
-            self._load_view.forget(conn.peer.node)
+            # A second connection to the agent may have ended.
+            kept = self._peers.get(conn.peer.address)
+            if kept is None or kept is conn:
+                self._load_view.forget(conn.peer.node)
 
     def _versions(self) -> list[ttypes.DocumentVersion]:
         versions = self._sync.versions()
--- a/src/wagtailhollow/internal/wire/connection.py
+++ b/src/wagtailhollow/internal/wire/connection.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import itertools
@@ -28,6 +29,7 @@
 SILENCE_LIMIT_S = 3.0
 MIN_SLEEP_S = 0.05
 MAX_CONCURRENT_REQUESTS = 1024
+RECENT_REQUESTS = 32
 WRITE_BUFFER_LIMIT_BYTES = 4 * 1024 * 1024
 CALL_DATA = frozenset(
     {
@@ -119,6 +121,9 @@
         self._request_ids = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[codec.Message]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._recent_requests: collections.deque[int] = collections.deque(
+            maxlen=RECENT_REQUESTS
+        )
         self._last_received = asyncio.get_running_loop().time()
         self._closed = False
         self._close_reason = ''
@@ -285,6 +290,10 @@
                 handler(self, received.message)
 
     def _handle_request(self, received: codec.Received) -> None:
+        if received.request_id in self._recent_requests:
+            # A repeated frame must not run a request a second time.
+            return
+        self._recent_requests.append(received.request_id)
         handler = self._handlers.requests.get(type(received.message))
         name = type(received.message).__name__
         if handler is None:
--- a/standins/caller.py
+++ b/standins/caller.py
@@ -20,6 +20,7 @@
     :ivar status: HTTP status, 0 if no answer came.
     :ivar execution: the ``X-Execution`` header of an error.
     :ivar text: text of the completion, or the body.
+    :ivar raw: the body as it arrived.
     :ivar is_whole: whether the answer ended as it should.
     :ivar error: error kind or exception, '' if there was none.
     :ivar first_s: time to the first token.
@@ -29,6 +30,7 @@
     status: int = 0
     execution: str = ''
     text: str = ''
+    raw: bytes = b''
     is_whole: bool = False
     error: str = ''
     first_s: float = 0.0
@@ -114,6 +116,7 @@
     last_s = 0.0
     is_error = False
     async for line in resp.content:
+        answer.raw += line
         if line.startswith(b'event: error'):
             is_error = True
         if not line.startswith(b'data: '):
--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,91 @@
+"""Closed-loop load from callers, with a check of every answer's bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+from collections.abc import AsyncIterator, Sequence
+
+from . import caller, deployment, engine
+
+PAUSE_AFTER_REFUSAL_S = 0.02
+
+
+@dataclasses.dataclass
+class Load:
+    """Callers that call one after another until they are stopped.
+
+    :ivar whole: answers that equal what the engine produced.
+    :ivar refused: refusals by error kind; none of these calls ran.
+    :ivar wrong: descriptions of all other answers.
+    """
+
+    cluster: deployment.Deployment
+    urls: list[str]
+    tokens: tuple[int, int]
+    seed: int
+    whole: int = 0
+    refused: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    wrong: list[str] = dataclasses.field(default_factory=list)
+    is_stopped: bool = False
+
+    async def run_caller(self, number: int) -> None:
+        """Call until :attr:`is_stopped` is set."""
+        rng = random.Random(f'{self.seed}/{number}')
+        client = caller.Caller(self.cluster.http)
+        while not self.is_stopped:
+            document = caller.chat_request(
+                f'station {rng.randrange(10**9)}', rng.randint(*self.tokens)
+            )
+            if not self.urls:
+                await asyncio.sleep(PAUSE_AFTER_REFUSAL_S)
+                continue
+            answer = await client.chat(rng.choice(self.urls), document)
+            self.take(answer, document)
+            if not answer.is_whole:
+                await asyncio.sleep(PAUSE_AFTER_REFUSAL_S)
+
+    def take(self, answer: caller.Answer, document: dict) -> None:
+        """Sort one answer into whole, refused or wrong."""
+        if answer.is_whole and is_exact(answer, document):
+            self.whole += 1
+        elif answer.execution == 'not_run' and not answer.raw:
+            self.refused[answer.error] += 1
+        else:
+            self.wrong.append(
+                f'status {answer.status}, {answer.error or "no error"}, '
+                f'{len(answer.raw)} bytes'
+            )
+
+
+def is_exact(answer: caller.Answer, document: dict) -> bool:
+    """Return whether every byte is what the engine produced."""
+    call_id = answer.headers.get('x-request-id', '')
+    return answer.raw == engine.expected_stream(call_id, document)
+
+
+@contextlib.asynccontextmanager
+async def running(
+    cluster: deployment.Deployment,
+    callers: int,
+    tokens: tuple[int, int],
+    seed: int,
+    urls: Sequence[str] = (),
+) -> AsyncIterator[Load]:
+    """Run callers while the context lasts; then let them finish."""
+    urls = list(urls) or [item.url for item in cluster.named('entry-')]
+    load = Load(cluster, urls, tokens, seed)
+    tasks = [
+        asyncio.create_task(load.run_caller(number))
+        for number in range(callers)
+    ]
+    try:
+        yield load
+    finally:
+        load.is_stopped = True
+        await asyncio.gather(*tasks)
