Prove whole answers over bad connections

A relay in standins/ cuts, silences, delays, duplicates and swaps frames; every answer is compared byte for byte with what the engine produced for that call id, streamed or not.

--- a/standins/caller.py
+++ b/standins/caller.py
@@ -138,6 +138,7 @@
 
 
 def _read_whole(body: bytes, answer: Answer) -> None:
+    answer.raw = body
     if answer.status != 200:
         answer.error = _error_kind(body.decode(errors='replace'))
         return
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -119,6 +119,25 @@
     return b''.join(events) + b'data: [DONE]\n\n'
 
 
+def expected_whole(call_id: str, document: dict[str, Any]) -> bytes:
+    """Return the body with which an engine answers without streaming."""
+    text = expected_text(document)
+    body = {
+        'id': call_id,
+        'object': 'chat.completion',
+        'model': document.get('model'),
+        'choices': [
+            {
+                'index': 0,
+                'finish_reason': 'stop',
+                'message': {'role': 'assistant', 'content': text},
+            }
+        ],
+        'usage': {'completion_tokens': text.count(' ')},
+    }
+    return json.dumps(body).encode()
+
+
 class Engine:
     """State of the fake and its HTTP handlers."""
 
@@ -261,22 +280,10 @@
     def _whole(
         self, stream: Stream, document: dict[str, Any]
     ) -> responses.Response:
-        text = expected_text(document)
-        body = {
-            'id': stream.call_id,
-            'object': 'chat.completion',
-            'model': document.get('model'),
-            'choices': [
-                {
-                    'index': 0,
-                    'finish_reason': 'stop',
-                    'message': {'role': 'assistant', 'content': text},
-                }
-            ],
-            'usage': {'completion_tokens': text.count(' ')},
-        }
-        return responses.JSONResponse(
-            body, headers={'x-request-id': stream.call_id}
+        return responses.Response(
+            expected_whole(stream.call_id, document),
+            media_type='application/json',
+            headers={'x-request-id': stream.call_id},
         )
 
     async def _stream(self, req: requests.Request) -> responses.Response:
--- a/standins/load.py
+++ b/standins/load.py
@@ -12,6 +12,7 @@
 from . import caller, deployment, engine
 
 PAUSE_AFTER_REFUSAL_S = 0.02
+STREAMED_SHARE = 0.7
 
 
 @dataclasses.dataclass
@@ -40,7 +41,9 @@
         client = caller.Caller(self.cluster.http)
         while not self.is_stopped:
             document = caller.chat_request(
-                f'station {rng.randrange(10**9)}', rng.randint(*self.tokens)
+                f'station {rng.randrange(10**9)}',
+                rng.randint(*self.tokens),
+                stream=rng.random() < STREAMED_SHARE,
             )
             if not self.urls:
                 await asyncio.sleep(PAUSE_AFTER_REFUSAL_S)
@@ -54,7 +57,7 @@
         """Sort one answer into whole, refused or wrong."""
         if answer.is_whole and is_exact(answer, document):
             self.whole += 1
-        elif answer.execution == 'not_run' and not answer.raw:
+        elif answer.execution == 'not_run':
             self.refused[answer.error] += 1
         else:
             self.wrong.append(
@@ -66,7 +69,10 @@
 def is_exact(answer: caller.Answer, document: dict) -> bool:
     """Return whether every byte is what the engine produced."""
     call_id = answer.headers.get('x-request-id', '')
-    return answer.raw == engine.expected_stream(call_id, document)
+    expected = (
+        engine.expected_stream if document['stream'] else engine.expected_whole
+    )
+    return answer.raw == expected(call_id, document)
 
 
 @contextlib.asynccontextmanager
