Prove that planned stops cut nothing

An entry refused calls from the moment of SIGTERM, before any balancer could know, and exited as soon as it was idle, so callers met closed ports. It goes on for drain_notice_s (2 s by default) with /readyz failing. Nobody acted on the state 'leaving' of the host list.

--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -157,6 +157,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._started_s = time.monotonic()
         self._was_ready = False
+        self._is_stopping = False
 
     async def start(self) -> None:
         """See :class:`lifecycle.Daemon`."""
@@ -173,8 +174,11 @@
 
     async def drain(self) -> None:
         """See :class:`lifecycle.Daemon`."""
-        self._app.draining = True
         deadline_s = time.monotonic() + self._cfg.drain_timeout_s
+        # Calls are still taken until the balancer has seen /readyz fail.
+        self._is_stopping = True
+        await asyncio.sleep(self._cfg.drain_notice_s)
+        self._app.draining = True
         while self._app.in_progress and time.monotonic() < deadline_s:
             await asyncio.sleep(0.05)
         if self._app.in_progress:
@@ -191,7 +195,7 @@
         await self._store.close()
 
     def _not_ready_reason(self) -> str | None:
-        if self._app.draining:
+        if self._is_stopping:
             return 'draining'
         if self._view is None:
             return 'no table yet'
--- a/src/wagtailhollow/internal/settings/schema.py
+++ b/src/wagtailhollow/internal/settings/schema.py
@@ -100,6 +100,7 @@
         'owner_blocks', allowed='the name of a limit method'
     )
     tls: TlsSettings | None = loader.setting(None, allowed='an object or null')
+    drain_notice_s: float = _seconds(2.0, 0.0, 60.0)
     drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
     log_level: str = _log_level()
 
