--- /dev/null
+++ b/tests/cover/test_admission_at_the_target.py
@@ -0,0 +1,229 @@
+"""What an agent lets through to its target, and what it frees again."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from wagtailhollow import errors
+from wagtailhollow.internal.agent import calls, gate, ledger, ramp, watcher
+from wagtailhollow.internal.agent.backends import registry
+from wagtailhollow.internal.settings import schema
+from wagtailhollow.internal.table import model, queries
+from wagtailhollow.internal.wire import auth, connection
+from wagtailhollow.internal.wire.gen import ttypes
+
+WARM = registry.BackendLoad(
+    1, 0, completed=500, uptime_s=100.0, cached_prefixes=40
+)
+
+
+class _Target:
+    """A back end whose calls run until they are cancelled."""
+
+    can_resume = True
+
+    def __init__(self, load):
+        self.report = load
+        self.polls = 0
+        self.started = []
+        self.is_cancellable = True
+
+    async def load(self):
+        self.polls += 1
+        return self.report
+
+    async def start(self, call):
+        self.started.append(call.call_id)
+        await asyncio.Event().wait()
+
+    async def cancel(self, call_id):
+        return self.is_cancellable
+
+
+class _Conn:
+    is_open = True
+    peer = auth.Identity('entry-1', ttypes.Role.ENTRY, 'dc-a', 'demo', 1)
+
+    def post(self, message):
+        pass
+
+
+class _Agent:
+    """The parts of an agent that decide about admission."""
+
+    def __init__(self, load, **ramp_settings):
+        view = queries.TableView(model.Table(1, {}))
+        self.target = _Target(load)
+        self.ramp = ramp.Ramp(schema.RampSettings(**ramp_settings))
+        self.gate = gate.Gate('dc-a', 'target-1', self.ramp, lambda: view)
+        self.watcher = watcher.TargetWatcher(self.target, self.gate, self.ramp)
+        self.handlers = connection.Handlers()
+        self.calls = calls.CallServer(
+            'target-1',
+            1,
+            self.target,
+            self.gate,
+            self.ramp,
+            self.watcher,
+            ledger.Ledger(),
+            self._catch_up,
+            lambda: None,
+            self.handlers,
+        )
+
+    async def _catch_up(self, conn, version):
+        await asyncio.sleep(0)
+
+    async def dispatch(self, call_id):
+        message = ttypes.Dispatch(
+            call_id, 1, 'target-1', 1, 60_000, 1, 'council', 'reports',
+            'POST', '/', {}, b'', 0, 1000,
+        )  # fmt: skip
+        return await self.handlers.requests[ttypes.Dispatch](_Conn(), message)
+
+    def cancel(self, call_id):
+        message = ttypes.CancelCall(call_id, 1)
+        self.handlers.notices[ttypes.CancelCall](_Conn(), message)
+
+
+def test_calls_of_an_earlier_agent_count_until_they_end():
+    """Guards against a second full load beside what still runs."""
+
+    async def go():
+        agent = _Agent(dataclasses.replace(WARM, running=2, uptime_s=1.0))
+        await agent.watcher.poll()
+        assert (await agent.dispatch('a')).kind == 'target_full'
+        agent.target.report = dataclasses.replace(WARM, running=1)
+        await agent.watcher.poll()
+        assert (await agent.dispatch('b')).accepted
+        assert agent.gate.foreign_running == 1
+        agent.target.report = dataclasses.replace(WARM, running=9)
+        await agent.watcher.poll()
+        assert agent.gate.foreign_running == 1
+        agent.cancel('b')
+        await asyncio.sleep(0.01)
+
+    asyncio.run(go())
+
+
+def test_each_load_report_allows_as_many_starts_as_a_cold_target_bears():
+    """Guards against a burst at a target that has just turned cold."""
+
+    async def go():
+        agent = _Agent(dataclasses.replace(WARM, running=0), initial_cap=2)
+        await agent.watcher.poll()
+        agent.ramp._cap = 20.0
+        replies = await asyncio.gather(
+            *(agent.dispatch(f'call-{number}') for number in range(2))
+        )
+        assert all(reply.accepted for reply in replies)
+        assert agent.target.polls == 1
+        agent.target.report = dataclasses.replace(WARM, cached_prefixes=2)
+        reply = await agent.dispatch('call-3')
+        assert reply.kind == 'target_full'
+        assert agent.target.polls == 2
+        for number in range(2):
+            agent.cancel(f'call-{number}')
+        await asyncio.sleep(0.01)
+
+    asyncio.run(go())
+
+
+def test_cancellation_that_overtakes_its_dispatch_is_kept():
+    """Guards against a call that nobody waits for any more."""
+
+    async def go():
+        agent = _Agent(WARM)
+        await agent.watcher.poll()
+        dispatch = asyncio.create_task(agent.dispatch('a'))
+        await asyncio.sleep(0)
+        agent.cancel('a')
+        assert (await dispatch).kind == 'stale_order'
+        assert not agent.target.started
+
+    asyncio.run(go())
+
+
+@pytest.mark.parametrize('is_cancellable', [True, False])
+def test_place_of_a_cancelled_call_is_free_once_the_target_stopped_it(
+    is_cancellable,
+):
+    """Guards against places lost, or freed while the target still works."""
+
+    async def go():
+        agent = _Agent(WARM)
+        agent.target.is_cancellable = is_cancellable
+        await agent.watcher.poll()
+        assert (await agent.dispatch('a')).accepted
+        # The task of the call has not taken its first step yet.
+        agent.cancel('a')
+        await asyncio.sleep(0.01)
+        assert agent.calls.running == 0
+        assert agent.gate.running == 0
+        assert agent.gate.foreign_running == (0 if is_cancellable else 1)
+
+    asyncio.run(go())
+
+
+def test_calls_from_before_a_reset_do_not_raise_the_cap():
+    """Guards against a cold target that old calls make look warm."""
+    found = ramp.Ramp(schema.RampSettings())
+    found.observe(WARM)
+    epoch = found.epoch
+    assert found.observe(dataclasses.replace(WARM, generation=2))
+    for _ in range(50):
+        found.completed(found.cap, epoch)
+    assert found.cap == 2
+    for _ in range(2):
+        found.completed(found.cap, found.epoch)
+    assert found.cap == 3
+
+
+@pytest.mark.parametrize(
+    'cold',
+    [
+        {'generation': 2},
+        {'uptime_s': 1.0},
+        {'completed': 3},
+        {'cached_prefixes': 2},
+        {'first_token_ms': 900.0},
+    ],
+)
+def test_each_sign_of_a_cold_target_resets_the_cap(cold):
+    """Guards against full load on a target that lost its warmth."""
+    found = ramp.Ramp(schema.RampSettings())
+    last = dataclasses.replace(WARM, first_token_ms=50.0)
+    found.observe(last)
+    assert not found.observe(last)
+    assert found.observe(dataclasses.replace(last, **cold))
+
+
+@pytest.mark.parametrize(
+    ('uptime_s', 'completed', 'cap'), [(60, 400, 12), (3, 400, 2), (60, 9, 2)]
+)
+def test_restarted_agent_takes_over_the_load_of_a_warm_target_only(
+    uptime_s, completed, cap
+):
+    """Guards against trusting what an agent did not see itself."""
+    found = ramp.Ramp(schema.RampSettings())
+    found.observe(
+        registry.BackendLoad(1, 12, completed=completed, uptime_s=uptime_s)
+    )
+    assert found.cap == cap
+
+
+def test_leaving_target_refuses_new_calls():
+    """Guards against new work on a host that the list names as leaving."""
+
+    async def go():
+        agent = _Agent(WARM)
+        await agent.watcher.poll()
+        agent.gate.leaving = True
+        reply = await agent.dispatch('a')
+        assert reply.kind == errors.ErrorKind.TARGET_DRAINING.value
+        assert agent.gate.state() == ttypes.TargetState.DRAINING
+
+    asyncio.run(go())
