Treat a reset transport as a lost connection

Cause: with 12 callers and an entry paused for 5 s, 3 calls got 500 internal. After a reset, uvloop raises RuntimeError on write, possibly before the reader task has noticed; the call failed, and the task that keeps a connection open would have ended for good. The new unit test fails with that RuntimeError before the change.

An entry that drains also waits until the last bytes for slow readers are handed to the system; before, uvicorn gave them 5 s.

--- a/src/wagtailhollow/internal/daemon/http.py
+++ b/src/wagtailhollow/internal/daemon/http.py
@@ -11,6 +11,11 @@
 from starlette import applications, requests, responses, routing
 
 GRACEFUL_TIMEOUT_S = 5
+FLUSH_POLL_S = 0.05
+
+KEEP_ALIVE_S = 75
+"""Longer than balancers keep idle connections (60 s is common): the side that
+closes first meets requests that are on their way, and resets them."""
 
 
 def operator_routes(
@@ -66,6 +71,7 @@
             limit_concurrency=max_connections,
             h11_max_incomplete_event_size=max_header_bytes,
             timeout_graceful_shutdown=GRACEFUL_TIMEOUT_S,
+            timeout_keep_alive=KEEP_ALIVE_S,
         )
         self._server = uvicorn.Server(cfg)
         # The daemon handles signals itself: it drains before it stops.
@@ -84,6 +90,19 @@
                 raise OSError('the HTTP server did not start')
             await asyncio.sleep(0.01)
 
+    async def flush(self) -> None:
+        """Wait until all answers are handed to the system.
+
+        The last bytes for a slow reader wait in the process, and would be
+        lost with it.
+        """
+        while any(
+            conn.transport.get_write_buffer_size()
+            for conn in self._server.server_state.connections
+            if not conn.transport.is_closing()
+        ):
+            await asyncio.sleep(FLUSH_POLL_S)
+
     async def stop(self) -> None:
         """Stop listening and close the connections."""
         self._server.should_exit = True
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Sequence
 
@@ -183,6 +184,9 @@
             await asyncio.sleep(0.05)
         if self._app.in_progress:
             logging.warning('%d calls are cut', self._app.in_progress)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(deadline_s - time.monotonic()):
+                await self._http.flush()
 
     async def stop(self) -> None:
         """See :class:`lifecycle.Daemon`."""
--- a/src/wagtailhollow/internal/wire/connection.py
+++ b/src/wagtailhollow/internal/wire/connection.py
@@ -156,7 +156,7 @@
         """
         try:
             await self._writer.drain()
-        except OSError as exc:
+        except (OSError, RuntimeError) as exc:
             raise ConnectionLost(self._close_reason or repr(exc)) from exc
 
     async def flush(self) -> None:
@@ -261,6 +261,10 @@
             _CONTROL_SENT.inc(len(frame))
 
     def _write(self, frame: bytes) -> None:
+        # uvloop raises RuntimeError on a transport that was reset, which may
+        # be before the reader task has noticed.
+        if self._writer.transport.is_closing():
+            self.close('reset by the peer')
         if self._closed:
             raise ConnectionLost(self._close_reason)
         self._writer.write(frame)
--- a/src/wagtailhollow/internal/wire/pool.py
+++ b/src/wagtailhollow/internal/wire/pool.py
@@ -132,6 +132,10 @@
                 delay_s = RECONNECT_MAX_S
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 delay_s = min(delay_s * 2, RECONNECT_MAX_S)
+            except Exception:
+                # Without this task the peer would never be reached again.
+                logging.exception('connecting to %s failed', address)
+                delay_s = RECONNECT_MAX_S
             # Jitter keeps the peers of a restarted process from coming back
             # at the same moment.
             await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
--- a/src/wagtailhollow/internal/wire/server.py
+++ b/src/wagtailhollow/internal/wire/server.py
@@ -71,10 +71,16 @@
             await self._run(reader, writer, peer)
         except errors.Refusal as exc:
             logging.warning('peer refused: %s', exc)
-            with contextlib.suppress(ConnectionError):
+            # uvloop raises RuntimeError on a transport that was reset.
+            with contextlib.suppress(OSError, RuntimeError):
                 reject = ttypes.Reject(exc.kind.value, exc.message)
                 writer.write(codec.encode(reject))
-        except (OSError, TimeoutError, asyncio.IncompleteReadError) as exc:
+        except (
+            OSError,
+            RuntimeError,
+            TimeoutError,
+            asyncio.IncompleteReadError,
+        ) as exc:
             logging.info('peer left before its proof: %r', exc)
         finally:
             self._count -= 1
--- a/tests/cover/test_peer_connections.py
+++ b/tests/cover/test_peer_connections.py
@@ -11,6 +11,7 @@
 import subprocess
 
 import pytest
+import uvloop
 
 from wagtailhollow import errors
 from wagtailhollow.internal.observability import metrics
@@ -254,3 +255,23 @@
     missing = str(tmp_path / 'missing.pem')
     with pytest.raises(ValueError, match='missing.pem'):
         tls.contexts(schema.TlsSettings(missing, missing, missing))
+
+
+def test_sending_on_a_transport_that_was_reset_is_a_lost_connection(tmp_path):
+    """Guards against uvloop's RuntimeError in the calls of a reset peer."""
+
+    async def go():
+        ring = _key_ring(tmp_path / 'k.json', 'k')
+        async with _Peers(ring) as peers:
+            # The reader task has not noticed the reset yet.
+            conn = await peers.connect(ring)
+            conn._writer.transport.abort()
+            await asyncio.sleep(0.05)
+            with pytest.raises(connection.ConnectionLost):
+                conn.post(ttypes.CancelCall('call', 1))
+            with pytest.raises(connection.ConnectionLost):
+                await conn.drain()
+            assert not conn.is_open
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(go())
--- /dev/null
+++ b/tests/prove/test_paused_processes.py
@@ -0,0 +1,84 @@
+"""P4 and P8 with processes that pause, and readers that do."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+from standins import caller, deployment, engine, load
+
+SEED = 20265
+SHAPE = deployment.Shape(data_centres=('dc-a',), entries=2, engines=2, plain=0)
+PAUSES_S = {
+    'agent-engine-dc-a-0': 5.0,
+    'engine-dc-a-1': 3.0,
+    'entry-dc-a-1': 5.0,
+}
+
+
+def test_paused_processes_cost_no_answer_a_byte(run_deployment, record_proof):
+    """Guards against stale state that a resumed process acts upon."""
+    print(f'seed {SEED}')
+    found = []
+
+    async def scenario(cluster):
+        async with load.running(cluster, 12, (50, 400), SEED) as callers:
+            await asyncio.sleep(2.0)
+            for name, pause_s in PAUSES_S.items():
+                cluster.processes[name].signal(signal.SIGSTOP)
+                await asyncio.sleep(pause_s)
+                cluster.processes[name].signal(signal.SIGCONT)
+                await asyncio.sleep(4.0)
+                print(name, callers.whole, dict(callers.refused))
+        found.extend(callers.wrong)
+        print(found)
+        assert not found
+        assert callers.whole > 50
+        for item in cluster.named('engine-'):
+            state = await cluster.get(f'{item.url}/load')
+            assert state['running'] == 0, state
+
+    run_deployment(scenario, SHAPE)
+    record_proof(
+        'P4',
+        'agent, engine and entry paused for 3 to 5 s under load',
+        SEED,
+        f'{len(found)} inexact',
+    )
+
+
+def test_entry_stops_only_after_a_slow_reader_has_everything(
+    run_deployment, record_proof
+):
+    """Guards against the loss of what waits in the process for a reader."""
+
+    async def scenario(cluster):
+        entry = cluster.named('entry-')[0]
+        document = caller.chat_request('slow', 45_000)
+        async with cluster.http.post(
+            f'{entry.url}/v1/chat/completions',
+            json=document,
+            headers={'Authorization': 'Bearer key-council'},
+        ) as resp:
+            stop = asyncio.create_task(cluster.terminate(entry.name, 120))
+            raw = b''
+            async for data in resp.content.iter_chunked(64 * 1024):
+                raw += data
+                if len(raw) < 4_000_000:
+                    await asyncio.sleep(0.01)
+                elif len(raw) < 4_300_000:
+                    await asyncio.sleep(2.0)
+            call_id = resp.headers['x-request-id']
+        assert raw == engine.expected_stream(call_id, document)
+        assert await stop == 0
+
+    run_deployment(
+        scenario,
+        deployment.Shape(
+            data_centres=('dc-a',),
+            engines=1,
+            plain=0,
+            engine_options=('--token-ms', '0.05'),
+        ),
+    )
+    record_proof('P8', 'SIGTERM of an entry, slow reader of 8 MB')
