--- a/src/wagtailhollow/internal/agent/compose.py
+++ b/src/wagtailhollow/internal/agent/compose.py
@@ -60,9 +60,7 @@
             hosts.own_row_document(cfg.node)
         )
         self._host.on_change(self._host_changed)
-        documents = {
-            item.name: item for item in (self._table, self._host)
-        }
+        documents = {item.name: item for item in (self._table, self._host)}
         if cfg.group is not None:
             documents[self._hosts.name] = self._hosts
         self._sync = sync.DocumentSync(documents, self._handlers)
--- a/src/wagtailhollow/internal/operators/client.py
+++ b/src/wagtailhollow/internal/operators/client.py
@@ -16,7 +16,7 @@
 from ..platform import api, http_store
 from ..settings import schema
 from ..table import commands, model
-from ..wire import auth, connection
+from ..wire import auth, connection, tls
 from ..wire.gen import ttypes
 from . import served
 
@@ -47,6 +47,7 @@
         self.cfg = cfg
         self.store = http_store.HttpObjectStore(cfg.platform_url)
         self._key_ring = auth.KeyRing(cfg.peer_keys_file)
+        self._tls = tls.contexts(cfg.tls).client
         self._identity = auth.Identity(
             f'operator-{cfg.operator}',
             ttypes.Role.OPERATOR,
@@ -166,6 +167,7 @@
                     connection.Handlers(),
                     _heartbeat,
                     ASK_TIMEOUT_S,
+                    self._tls,
                 )
                 reader = asyncio.create_task(conn.run())
                 try:
--- a/src/wagtailhollow/internal/settings/schema.py
+++ b/src/wagtailhollow/internal/settings/schema.py
@@ -80,6 +80,14 @@
     key_file: str = loader.setting(allowed='path of the private key (PEM)')
 
 
+def _tls() -> TlsSettings | None:
+    return loader.setting(
+        None,
+        allowed='null or an object with the PEM file paths `ca_file`, '
+        '`cert_file` and `key_file`',
+    )
+
+
 @dataclasses.dataclass(frozen=True)
 class EntrySettings:
     """Settings of the entry daemon."""
@@ -99,7 +107,7 @@
     limit_method: str = loader.setting(
         'owner_blocks', allowed='the name of a limit method'
     )
-    tls: TlsSettings | None = loader.setting(None, allowed='an object or null')
+    tls: TlsSettings | None = _tls()
     drain_notice_s: float = _seconds(2.0, 0.0, 60.0)
     drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
     log_level: str = _log_level()
@@ -182,7 +190,7 @@
     experts: ExpertSettings = loader.setting(
         ExpertSettings(), allowed='an object'
     )
-    tls: TlsSettings | None = loader.setting(None, allowed='an object or null')
+    tls: TlsSettings | None = _tls()
     drain_timeout_s: float = _seconds(330.0, 0.0, 3600.0)
     log_level: str = _log_level()
 
@@ -205,7 +213,7 @@
     platform_url: str = loader.setting(allowed=_URL, check=loader.is_url)
     peer_keys_file: str = loader.setting(allowed='path of the key file')
     seed_peers: tuple[str, ...] = _addresses()
-    tls: TlsSettings | None = loader.setting(None, allowed='an object or null')
+    tls: TlsSettings | None = _tls()
     timeout_s: float = _seconds(10.0, 0.1, 600.0)
 
 
--- a/src/wagtailhollow/internal/wire/connection.py
+++ b/src/wagtailhollow/internal/wire/connection.py
@@ -350,8 +350,8 @@
     key_ring: auth.KeyRing,
     handlers: Handlers,
     heartbeat: HeartbeatSource,
-    tls: ssl.SSLContext | None = None,
     timeout_s: float = 3.0,
+    tls: ssl.SSLContext | None = None,
 ) -> PeerConnection:
     """Connect to *address* (``host:port``) and prove both ends.
 
--- a/src/wagtailhollow/internal/wire/pool.py
+++ b/src/wagtailhollow/internal/wire/pool.py
@@ -102,7 +102,7 @@
             self._key_ring,
             self._handlers,
             self._heartbeat,
-            self._tls,
+            tls=self._tls,
         )
 
     async def _release(self, address: str) -> None:
--- a/src/wagtailhollow/internal/wire/server.py
+++ b/src/wagtailhollow/internal/wire/server.py
@@ -13,7 +13,7 @@
 from .gen import ttypes
 
 MAX_PEER_CONNECTIONS = 512
-"""The agents of a group of 256 ranks connect to each other, besides entries."""
+"""The agents of a group of 256 ranks connect to each other."""
 
 
 class PeerServer:
--- a/tests/prove/test_paused_processes.py
+++ b/tests/prove/test_paused_processes.py
@@ -78,6 +78,7 @@
             data_centres=('dc-a',),
             engines=1,
             plain=0,
+            organisations={'council': {'max_tokens_per_call': 100_000}},
             engine_options=('--token-ms', '0.05'),
         ),
     )
--- a/tests/prove/test_slow_and_lost_callers.py
+++ b/tests/prove/test_slow_and_lost_callers.py
@@ -25,6 +25,7 @@
         data_centres=('dc-a',),
         engines=1,
         plain=0,
+        organisations={'council': {'max_tokens_per_call': 100_000}},
         engine_options=('--token-ms', '0.2'),
     )
 
