--- a/src/wagtailhollow/internal/agent/compose.py
+++ b/src/wagtailhollow/internal/agent/compose.py
@@ -44,12 +44,6 @@
         self._table_start = start.TableStart(
             self._store, self._table, self._publish
         )
-        # The entries send this agent's own row of the host list: the whole
-        # list would cost each of thousands of agents memory and traffic.
-        self._host = document.VersionedDocument(
-            hosts.own_row_document(cfg.node)
-        )
-        self._host.on_change(self._host_changed)
         self._handlers = connection.Handlers()
         self._operators = served.OperatorService(
             self._handlers,
@@ -60,6 +54,12 @@
         )
         # Only an agent of a group needs the host list, to find its peers.
         self._hosts = document.VersionedDocument(hosts.HOSTS_DOCUMENT)
+        # The entries send this agent's own row of the host list: the whole
+        # list would cost each of thousands of agents memory and traffic.
+        self._host = document.VersionedDocument(
+            hosts.own_row_document(cfg.node)
+        )
+        self._host.on_change(self._host_changed)
         documents = {item.name: item for item in (self._table, self._host)}
         if cfg.group is not None:
             documents[self._hosts.name] = self._hosts
@@ -240,7 +240,7 @@
     ) -> None:
         if version < self._table.version:
             # The entry fetches when it sees the newer version.
-            conn.post(self._heartbeat(conn))
+            conn.beat()
         if version <= self._table.version:
             return
         try:
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Sequence
 
@@ -50,12 +51,12 @@
         self._table = document.VersionedDocument(model.TABLE_DOCUMENT)
         self._table.on_change(self._table_changed)
         self._hosts = document.VersionedDocument(hosts.HOSTS_DOCUMENT)
+        self._hosts.on_change(self._hosts_changed)
         self._view: queries.TableView | None = None
         self._direct = overrides.DirectWithdrawals(self._table, self._publish)
         self._sharing = 1
         self._load_view = load_view.LoadView(sharing=lambda: self._sharing)
         self._handlers = connection.Handlers()
-        self._hosts.on_change(self._hosts_changed)
         self._handlers.on_notice(ttypes.Heartbeat)(self._heard)
         self._handlers.opened.append(self._connection_opened)
         self._handlers.closed.append(self._connection_closed)
@@ -183,6 +184,9 @@
             await asyncio.sleep(0.05)
         if self._app.in_progress:
             logging.warning('%d calls are cut', self._app.in_progress)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(deadline_s - time.monotonic()):
+                await self._http.flush()
 
     async def stop(self) -> None:
         """See :class:`lifecycle.Daemon`."""
@@ -316,10 +320,11 @@
     def _connection_closed(self, conn: connection.PeerConnection) -> None:
         if conn.peer.role == ttypes.Role.ENTRY:
             self._duty.closed(conn.peer, conn)
-            return
-        kept = self._peers.get(conn.peer.address)
-        if kept is None or kept is conn:
-            self._load_view.forget(conn.peer.node)
+        elif conn.peer.role == ttypes.Role.AGENT:
+            # A second connection to the agent may have ended.
+            kept = self._peers.get(conn.peer.address)
+            if kept is None or kept is conn:
+                self._load_view.forget(conn.peer.node)
 
     def _versions(self) -> list[ttypes.DocumentVersion]:
         versions = self._sync.versions()
--- a/src/wagtailhollow/internal/entry/host_rows.py
+++ b/src/wagtailhollow/internal/entry/host_rows.py
@@ -1,4 +1,4 @@
-"""Acts on the host list: which agents to choose, and whom to tell."""
+"""Acts on the states in the host list: whom to choose, whom to tell."""
 
 from __future__ import annotations
 
--- a/src/wagtailhollow/internal/operators/client.py
+++ b/src/wagtailhollow/internal/operators/client.py
@@ -166,8 +166,8 @@
                     self._key_ring,
                     connection.Handlers(),
                     _heartbeat,
-                    self._tls,
                     ASK_TIMEOUT_S,
+                    self._tls,
                 )
                 reader = asyncio.create_task(conn.run())
                 try:
