Answer 'not run' only for calls that are proven unexecuted

A refused or undecodable inquiry was passed on as a NOT_RUN refusal; a refusal of a later attempt, or one made before the claim was read, said "not run" although an earlier attempt or an earlier request with the key may have run; a conflict while settling ended in INTERNAL; a dispatch named the incarnation of the latest heartbeat instead of the one in the claim; the fingerprint left out the service, so a key replayed the answer of another service; an empty Idempotency-Key counted as none. aiohttp repeats GET, PUT and DELETE when a connection ends, and follows redirects, so one dispatch could execute twice.

Ruled out: duplicate frames between our processes (TCP, one dispatch for a nonce).

The head of a request was bounded neither in size nor in time (uvicorn's limit applies to its h11 parser only); connections over the limit got a text answer. Both are bounded below the application now.

--- a/src/wagtailhollow/errors.py
+++ b/src/wagtailhollow/errors.py
@@ -55,7 +55,12 @@
 
 
 class Retry(enum.Enum):
-    """What a caller should do about a failed call."""
+    """What a caller should do about a failed call.
+
+    ``NO``: the same request fails again. ``LATER``: the request may be sent
+    again. ``SAME_KEY``: send it again only with the same Idempotency-Key;
+    without a key it must not be sent again unless it may run twice.
+    """
 
     NO = 'no'
     LATER = 'later'
@@ -70,6 +75,16 @@
     execution: Execution
     retry: Retry
 
+    def uncertain(self) -> Answer:
+        """Return this answer for a call of which more is not known.
+
+        A kind says what the last step found out. If an earlier step of the
+        same call may have executed it, "not run" would be false.
+        """
+        if self.execution is not Execution.NOT_RUN:
+            return self
+        return Answer(self.status, Execution.MAY_HAVE_RUN, Retry.SAME_KEY)
+
 
 _NOT_RUN = Execution.NOT_RUN
 _MAY = Execution.MAY_HAVE_RUN
--- a/src/wagtailhollow/internal/agent/backends/http_call.py
+++ b/src/wagtailhollow/internal/agent/backends/http_call.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from ...daemon import send_once
 from . import registry
 
 CONNECT_TIMEOUT_S = 2.0
@@ -52,6 +53,8 @@
                 headers=dict(headers),
                 data=body,
                 timeout=timeout,
+                # Followed here, a redirect would be a second execution.
+                allow_redirects=False,
             )
         except aiohttp.ClientConnectorError as exc:
             raise registry.BackendFailed(str(exc), started=False) from exc
@@ -83,7 +86,9 @@
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=0)
             self._session = aiohttp.ClientSession(
-                connector=connector, auto_decompress=False
+                connector=connector,
+                auto_decompress=False,
+                middlewares=(send_once.send_once,),
             )
         return self._session
 
--- a/src/wagtailhollow/internal/agent/ledger.py
+++ b/src/wagtailhollow/internal/agent/ledger.py
@@ -24,6 +24,10 @@
 RECORD_RETENTION_MS = 600_000
 
 MAX_RECORDED_BODY_BYTES = 1_000_000
+"""A longer body does not fit into the frame of a ``CallOutcome``."""
+
+MAX_TOTAL_BODY_BYTES = 8_000_000
+"""Bound on the memory for all bodies; the oldest are dropped first."""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +54,7 @@
     def __init__(self, clock_ms=None) -> None:
         self._clock_ms = clock_ms or (lambda: time.monotonic_ns() // 1_000_000)
         self._entries: dict[str, _Entry] = {}
+        self._body_bytes = 0
 
     def now_ms(self) -> int:
         """Return the agent's clock, as it goes into heartbeats."""
@@ -68,10 +73,16 @@
                 f'the dispatch is {age_ms} ms old, at most '
                 f'{MAX_TICKET_AGE_MS} ms are allowed',
             )
-        if ticket.nonce in self._entries:
+        entry = self._entries.get(ticket.nonce)
+        if entry is not None and entry.state != ttypes.OutcomeState.NOT_RUN:
+            # STALE_ORDER would say that the call was not run.
             raise errors.Refusal(
-                errors.ErrorKind.STALE_ORDER,
-                'this dispatch was cancelled or started before',
+                errors.ErrorKind.IN_PROGRESS,
+                'this dispatch was started before',
+            )
+        if entry is not None:
+            raise errors.Refusal(
+                errors.ErrorKind.STALE_ORDER, 'this dispatch was cancelled'
             )
         self._entries[ticket.nonce] = _Entry(
             ttypes.OutcomeState.IN_PROGRESS, self.now_ms()
@@ -95,12 +106,22 @@
             if outcome is None
             else ttypes.OutcomeState.DONE
         )
+        if outcome and len(outcome.body) > MAX_RECORDED_BODY_BYTES:
+            outcome = None
+        # Entries stay in the order in which they were recorded.
+        self._entries.pop(ticket.nonce, None)
         self._entries[ticket.nonce] = _Entry(state, self.now_ms(), outcome)
+        self._body_bytes += len(outcome.body) if outcome else 0
+        self._drop_oldest_bodies()
 
     def cancel_if_not_started(
         self, ticket: ttypes.ClaimTicket
     ) -> ttypes.CallOutcome:
-        """Return the state of the nonce; bar it if it was not started."""
+        """Return the state of the nonce; bar it if it was not started.
+
+        DONE without a status means that the answer was too large to keep or
+        had to make room for later ones.
+        """
         entry = self._entries.get(ticket.nonce)
         if entry is None:
             age_ms = self.now_ms() - ticket.issued_agent_clock_ms
@@ -127,6 +148,21 @@
             for nonce, entry in self._entries.items()
             if now_ms - entry.changed_at_ms <= _retention_ms(entry)
         }
+        self._body_bytes = sum(
+            len(entry.outcome.body)
+            for entry in self._entries.values()
+            if entry.outcome is not None
+        )
+
+    def _drop_oldest_bodies(self) -> None:
+        if self._body_bytes <= MAX_TOTAL_BODY_BYTES:
+            return
+        for entry in self._entries.values():
+            if entry.outcome is not None:
+                self._body_bytes -= len(entry.outcome.body)
+                entry.outcome = None
+            if self._body_bytes <= MAX_TOTAL_BODY_BYTES:
+                return
 
 
 def _retention_ms(entry: _Entry) -> float:
--- a/src/wagtailhollow/internal/claims/claims.py
+++ b/src/wagtailhollow/internal/claims/claims.py
@@ -21,6 +21,12 @@
 MAX_RECORDED_BODY_BYTES = 500_000
 """A recorded answer has to fit into one platform object, in base64."""
 
+RETENTION_S = 24 * 3600.0
+"""How long a key keeps its answer; later the key may be used again."""
+
+CLOCK_SKEW_S = 3600.0
+"""Added to the retention, since the clocks of the entries differ."""
+
 
 @dataclasses.dataclass(frozen=True)
 class RecordedAnswer:
@@ -30,6 +36,12 @@
     headers: Mapping[str, str]
     body: bytes
 
+    def size(self) -> int:
+        """Return the bytes that count towards the recorded size."""
+        return len(self.body) + sum(
+            len(name) + len(value) for name, value in self.headers.items()
+        )
+
 
 @dataclasses.dataclass(frozen=True)
 class Claim:
@@ -42,7 +54,9 @@
     :ivar target, incarnation, address: where the call may be dispatched.
     :ivar issued_agent_clock_ms: the agent's clock when the claim was made.
     :ivar state: ``claimed``, ``not_run``, ``done`` or ``unknown``.
-    :ivar answer: the recorded answer if the state is ``done``.
+    :ivar answer: the recorded answer if the state is ``done``; None if it
+        was too large to keep.
+    :ivar created_at: time of the claim, seconds since the epoch.
     """
 
     object_key: str
@@ -57,6 +71,18 @@
     answer: RecordedAnswer | None = None
     created_at: float = 0.0
 
+    def age_s(self) -> float:
+        """Return the age by this process's wall clock."""
+        return time.time() - self.created_at
+
+    def is_expired(self) -> bool:
+        """Return whether the key may be used again.
+
+        Safe for every state: a dispatch is refused by its agent after 30 s
+        and a call ends at its deadline, at most an hour.
+        """
+        return self.age_s() > RETENTION_S + CLOCK_SKEW_S
+
     def ticket(self) -> ttypes.ClaimTicket:
         """Return the ticket that travels with the dispatch."""
         return ttypes.ClaimTicket(
@@ -76,7 +102,7 @@
         return None if found is None else _from_object(found)
 
     async def take(self, claim: Claim, previous: Claim | None) -> Claim:
-        """Create *claim*, or replace *previous*, which did not run.
+        """Create *claim*, or replace *previous*, which is proven not run.
 
         :raises api.Conflict: another entry was first.
         :raises api.PlatformUnavailable: unsettled; must not be dispatched.
@@ -88,7 +114,7 @@
         self, claim: Claim, state: str, answer: RecordedAnswer | None = None
     ) -> Claim:
         """Record the outcome of *claim*; raises as :meth:`take`."""
-        if answer and len(answer.body) > MAX_RECORDED_BODY_BYTES:
+        if answer and answer.size() > MAX_RECORDED_BODY_BYTES:
             answer = None
         settled = dataclasses.replace(claim, state=state, answer=answer)
         return await self._write(settled, claim.version)
@@ -118,10 +144,18 @@
     return f'claims/{organisation}/{digest}'
 
 
-def fingerprint(method: str, path: str, body: bytes) -> str:
+def key_of_unkeyed_call(call_id: str) -> str:
+    """Return the key of a call whose caller sent none.
+
+    A header cannot contain NUL, so no caller's key is equal to it.
+    """
+    return f'\0{call_id}'
+
+
+def fingerprint(service: str, method: str, path: str, body: bytes) -> str:
     """Return a hash that tells whether two requests are the same."""
     digest = hashlib.sha256()
-    for part in (method.encode(), path.encode(), body):
+    for part in (service.encode(), method.encode(), path.encode(), body):
         digest.update(len(part).to_bytes(8, 'big'))
         digest.update(part)
     return digest.hexdigest()
@@ -175,4 +209,7 @@
             value['answer']['headers'],
             base64.b64decode(value['answer']['body']),
         )
-    return Claim(object_key=found.key, version=found.version, **value)
+    # A newer release may write fields that this one does not know.
+    names = {field.name for field in dataclasses.fields(Claim)}
+    known = {name: item for name, item in value.items() if name in names}
+    return Claim(object_key=found.key, version=found.version, **known)
--- a/src/wagtailhollow/internal/daemon/http.py
+++ b/src/wagtailhollow/internal/daemon/http.py
@@ -52,19 +52,26 @@
         routes: Iterable[routing.BaseRoute],
         address: str,
         max_connections: int = 1_024,
-        max_header_bytes: int = 16_384,
+        protocol: str | type[asyncio.Protocol] = 'httptools',
     ) -> None:
+        """Create the server.
+
+        :param max_connections: further ones get 503, unless *protocol* is a
+            class, which then has to bound them.
+        """
         host, _, port = address.rpartition(':')
         cfg = uvicorn.Config(
             applications.Starlette(routes=list(routes)),
             host=host,
             port=int(port),
-            http='httptools',
+            http=protocol,
+            ws='none',
             lifespan='off',
             log_config=None,
             access_log=False,
-            limit_concurrency=max_connections,
-            h11_max_incomplete_event_size=max_header_bytes,
+            limit_concurrency=(
+                max_connections if isinstance(protocol, str) else None
+            ),
             timeout_graceful_shutdown=GRACEFUL_TIMEOUT_S,
         )
         self._server = uvicorn.Server(cfg)
--- a/src/wagtailhollow/internal/entry/app.py
+++ b/src/wagtailhollow/internal/entry/app.py
@@ -23,6 +23,8 @@
 MAX_PREFIX_CHARS = 256
 DEFAULT_MAX_TOKENS = 1_024
 MAX_KEY_CHARS = 255
+MAX_TOKENS_ASKED = 1_000_000_000
+MAX_ECHO_CHARS = 80
 BYTES_PER_TOKEN_ESTIMATE = 4
 TAIL_BYTES = 1_024
 # Quotes in the text of an answer are escaped in JSON, so the text cannot
@@ -65,8 +67,33 @@
             routing.Route('/v1/chat/completions', _Endpoint(self.chat)),
             routing.Route(plain, _Endpoint(self.plain)),
             routing.Route('/v1/models', _Endpoint(self.models)),
+            routing.Route('/v1/{path:path}', _Endpoint(self.unknown_path)),
         ]
 
+    async def overloaded(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve connections over the limit; an ASGI application."""
+        await _Endpoint(self._refuse_connection)(scope, receive, send)
+
+    async def _refuse_connection(
+        self, scope: Scope, receive: Receive, sink: HttpSink
+    ) -> None:
+        raise errors.Refusal(
+            errors.ErrorKind.OVERLOADED,
+            f'{self._cfg.request_limits.max_connections} connections are open',
+            retry_after_s=1.0,
+        )
+
+    async def unknown_path(
+        self, scope: Scope, receive: Receive, sink: HttpSink
+    ) -> None:
+        """Refuse every other path under ``/v1``."""
+        raise _bad_request(
+            'no such path; use /v1/chat/completions, /v1/models or '
+            '/v1/services/SERVICE/PATH'
+        )
+
     async def chat(
         self, scope: Scope, receive: Receive, sink: HttpSink
     ) -> None:
@@ -85,8 +112,8 @@
         if service_name is None:
             raise errors.Refusal(
                 errors.ErrorKind.UNKNOWN_MODEL,
-                f'no service has the model {model_name!r}; GET /v1/models '
-                'lists the models',
+                f'no service has the model {_echo(model_name)}; '
+                'GET /v1/models lists the models',
             )
         call = self._call(
             scope,
@@ -111,12 +138,10 @@
         if service is None or service.kind != 'plain':
             raise errors.Refusal(
                 errors.ErrorKind.UNKNOWN_SERVICE,
-                f'no plain service is named {name!r}',
+                f'no plain service is named {_echo(name)}',
             )
         body = await self._read_body(scope, receive)
-        path = '/' + scope['path_params']['path']
-        if scope['query_string']:
-            path += '?' + scope['query_string'].decode('latin-1')
+        path = _target_path(scope)
         call = self._call(
             scope, sink, organisation, name, service, path, body, 0, ''
         )
@@ -127,6 +152,7 @@
     ) -> None:
         """Serve ``GET /v1/models``."""
         view, _ = self._identify(scope)
+        await self._read_body(scope, receive)
         rows = [
             {'id': model_name, 'object': 'model', 'owned_by': service_name}
             for service_name in view.names('service')
@@ -160,6 +186,13 @@
 
     async def _read_body(self, scope: Scope, receive: Receive) -> bytes:
         limits = self._cfg.request_limits
+        head_bytes = _head_bytes(scope)
+        if head_bytes > limits.max_header_bytes:
+            raise errors.Refusal(
+                errors.ErrorKind.HEADER_TOO_LARGE,
+                f'the head of the request has {head_bytes} bytes, at most '
+                f'{limits.max_header_bytes} are allowed',
+            )
         declared = _header(scope, b'content-length')
         if declared.isdigit() and int(declared) > limits.max_body_bytes:
             raise _body_too_large(limits.max_body_bytes)
@@ -194,12 +227,7 @@
         tokens: int,
         prefix: str,
     ) -> call_module.Call:
-        key = _header(scope, b'idempotency-key') or None
-        if key is not None and len(key) > MAX_KEY_CHARS:
-            raise _bad_request(
-                f'Idempotency-Key has {len(key)} characters, at most '
-                f'{MAX_KEY_CHARS} are allowed'
-            )
+        key = _idempotency_key(scope)
         is_repeatable = (
             service.kind == 'model'
             or scope['method'] in service.repeatable_methods
@@ -241,6 +269,7 @@
                 if not call.must_not_repeat:
                     work.cancel()
                 await asyncio.gather(work, return_exceptions=True)
+                sink.count('caller_left')
                 return
             await work
         finally:
@@ -264,7 +293,7 @@
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        sink = HttpSink(send)
+        sink = HttpSink(send, scope)
         logs.request_id.set(sink.request_id)
         try:
             await self._serve(scope, receive, sink)
@@ -281,12 +310,15 @@
 class HttpSink:
     """Sends one answer to a caller and measures it."""
 
-    def __init__(self, send: Send) -> None:
+    def __init__(self, send: Send, scope: Scope) -> None:
         self._send = send
+        self._has_key = bool(_header(scope, b'idempotency-key'))
+        self._has_body = _has_body(scope)
         self.request_id = secrets.token_hex(12)
         self.is_started = False
         self._is_stream = False
         self._is_finished = False
+        self._is_counted = False
         self._call: call_module.Call | None = None
         self._data_centre = ''
         self._first_s: float | None = None
@@ -308,7 +340,10 @@
         self._status = status
         self._is_stream = 'event-stream' in headers.get('content-type', '')
         rows = [
-            (name.lower().encode('latin-1'), value.encode('latin-1'))
+            (
+                name.lower().encode('utf-8', 'surrogateescape'),
+                value.encode('utf-8', 'surrogateescape'),
+            )
             for name, value in headers.items()
             if name.lower().encode() != _REQUEST_ID_HEADER
         ]
@@ -330,8 +365,7 @@
         self._last_s = now_s
         if self._is_stream:
             self._events += data.count(b'data:')
-        else:
-            self._tail = (self._tail + data)[-TAIL_BYTES:]
+        self._tail = (self._tail + data)[-TAIL_BYTES:]
         await self._send(
             {'type': 'http.response.body', 'body': data, 'more_body': True}
         )
@@ -369,7 +403,10 @@
             await self._send_error(exc)
         elif self._is_stream and not self._is_finished:
             event = json.dumps(self._document(exc))
-            data = f'event: error\ndata: {event}\n\n'.encode()
+            # An event that was cut must not swallow the error event.
+            is_cut = self._tail and not self._tail.endswith(b'\n\n')
+            start = '\n\n' if is_cut else ''
+            data = f'{start}event: error\ndata: {event}\n\n'.encode()
             await self._send(
                 {
                     'type': 'http.response.body',
@@ -382,8 +419,9 @@
 
     def count(self, result: str) -> None:
         """Count the call and its times in the metrics."""
-        if self._call is None:
+        if self._call is None or self._is_counted:
             return
+        self._is_counted = True
         labels = (
             self._call.service_name,
             self._call.organisation,
@@ -399,14 +437,33 @@
             mean_s = (self._last_s - self._first_s) / (self._events - 1)
             metrics.between_tokens.labels(*labels).observe(mean_s)
 
+    def _answer(self, exc: errors.Refusal) -> errors.Answer:
+        """Return the answer of *exc*, as far as it is true of the call.
+
+        The kind speaks of the last step only. An attempt before it, or an
+        earlier request with the same key, may have been executed.
+        """
+        record = self._call.execution if self._call else None
+        if record is not None and record.may_have_run:
+            return exc.answer.uncertain()
+        is_key_free = record is not None and record.is_key_free
+        is_transient = exc.answer.retry is errors.Retry.LATER
+        if self._has_key and is_transient and not is_key_free:
+            return exc.answer.uncertain()
+        return exc.answer
+
     async def _send_error(self, exc: errors.Refusal) -> None:
+        answer = self._answer(exc)
         headers = {
             'content-type': 'application/json',
-            'x-execution': exc.answer.execution.value,
+            'x-execution': answer.execution.value,
         }
+        if self._has_body and self._call is None:
+            # The rest of the body would have to be read first otherwise.
+            headers['connection'] = 'close'
         if exc.retry_after_s is not None:
             headers['retry-after'] = str(max(1, round(exc.retry_after_s)))
-        await self.start(exc.answer.status, headers)
+        await self.start(answer.status, headers)
         await self._send(
             {
                 'type': 'http.response.body',
@@ -416,13 +473,14 @@
         )
 
     def _document(self, exc: errors.Refusal) -> dict[str, Any]:
+        answer = self._answer(exc)
         return {
             'error': {
                 'kind': exc.kind.value,
                 'type': exc.kind.value,
                 'message': exc.message,
-                'execution': exc.answer.execution.value,
-                'retry': exc.answer.retry.value,
+                'execution': answer.execution.value,
+                'retry': answer.retry.value,
                 'request_id': self.request_id,
             }
         }
@@ -440,6 +498,56 @@
     return ''
 
 
+def _head_bytes(scope: Scope) -> int:
+    fields = sum(len(key) + len(value) + 4 for key, value in scope['headers'])
+    return fields + len(scope['raw_path']) + len(scope['query_string'])
+
+
+def _has_body(scope: Scope) -> bool:
+    length = _header(scope, b'content-length')
+    return length not in ('', '0') or bool(
+        _header(scope, b'transfer-encoding')
+    )
+
+
+def _idempotency_key(scope: Scope) -> str | None:
+    """Return the caller's key, or None without the header.
+
+    A key that is empty or given twice is refused: the caller relies on it,
+    and without it a repeated request would run again.
+    """
+    keys = [
+        value.decode('latin-1')
+        for name, value in scope['headers']
+        if name == b'idempotency-key'
+    ]
+    if not keys:
+        return None
+    if len(keys) > 1 or not 0 < len(keys[0]) <= MAX_KEY_CHARS:
+        raise _bad_request(
+            f'Idempotency-Key has to be given once, with 1 to {MAX_KEY_CHARS} '
+            f'characters; got {len(keys)} with '
+            f'{max(map(len, keys))} characters'
+        )
+    return keys[0]
+
+
+def _target_path(scope: Scope) -> str:
+    """Return path and query for the target as the caller sent them.
+
+    The decoded path would lose the difference between ``?`` and ``%3F``.
+    """
+    raw = scope['raw_path'].decode('latin-1')
+    path = '/' + raw.removeprefix('/v1/services/').partition('/')[2]
+    query = scope['query_string'].decode('latin-1')
+    return f'{path}?{query}' if query else path
+
+
+def _echo(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= MAX_ECHO_CHARS else text[:MAX_ECHO_CHARS] + '…'
+
+
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
         document = json.loads(body)
@@ -452,9 +560,10 @@
 
 def _worst_case_tokens(document: Mapping[str, Any], body: bytes) -> int:
     asked = document.get('max_tokens', DEFAULT_MAX_TOKENS)
-    if type(asked) is not int or asked < 1:
+    if type(asked) is not int or not 1 <= asked <= MAX_TOKENS_ASKED:
         raise _bad_request(
-            f'max_tokens has to be a positive whole number, got {asked!r}'
+            'max_tokens has to be a whole number from 1 to '
+            f'{MAX_TOKENS_ASKED}, got {_echo(asked)}'
         )
     return asked + len(body) // BYTES_PER_TOKEN_ESTIMATE
 
@@ -463,8 +572,11 @@
     messages = document.get('messages')
     if not isinstance(messages, list):
         raise _bad_request('messages has to be a list')
-    text = json.dumps(messages[:2], ensure_ascii=False)
-    return text[:MAX_PREFIX_CHARS]
+    try:
+        # ASCII only: a lone surrogate could not be encoded later.
+        return json.dumps(messages[:2])[:MAX_PREFIX_CHARS]
+    except RecursionError as exc:
+        raise _bad_request('messages are nested too deeply') from exc
 
 
 def _bad_request(message: str) -> errors.Refusal:
--- a/src/wagtailhollow/internal/entry/attempts.py
+++ b/src/wagtailhollow/internal/entry/attempts.py
@@ -108,6 +108,8 @@
             with self._peers.hold(attempt.candidate.address):
                 await self._run_held(conn, attempt, relay)
         except (asyncio.CancelledError, AttemptFailed) as exc:
+            if getattr(exc, 'phase', None) is not Phase.REFUSED:
+                attempt.call.execution.may_have_run = True
             if not getattr(exc, 'is_ended', False):
                 self._cancel(attempt, relay)
             raise
@@ -156,17 +158,15 @@
                 Phase.SENT, errors.ErrorKind.OUTCOME_UNKNOWN, repr(exc)
             ) from exc
         except errors.Refusal as exc:
-            raise AttemptFailed(Phase.REFUSED, exc, True) from exc
+            raise AttemptFailed(_phase_of(exc.kind), exc, True) from exc
         result = reply.kind or 'accepted'
         metrics.attempts.labels(call.service_name, result).inc()
         if reply.load is not None:
             self._view.take(conn.peer, reply.load, False)
         if not reply.accepted:
+            kind = errors.kind_from_wire(reply.kind)
             raise _failed(
-                Phase.REFUSED,
-                errors.kind_from_wire(reply.kind),
-                reply.message or '',
-                is_ended=True,
+                _phase_of(kind), kind, reply.message or '', is_ended=True
             )
 
     async def _resume(self, attempt: Attempt, relay: _Relay) -> None:
@@ -369,9 +369,13 @@
         kind = errors.kind_from_wire(frame.kind)
         if self._sink.is_started:
             raise _failed(Phase.ANSWERING, kind, frame.message, True)
-        is_certain = errors.ANSWERS[kind].execution is errors.Execution.NOT_RUN
-        phase = Phase.REFUSED if is_certain else Phase.SENT
-        raise _failed(phase, kind, frame.message, True)
+        raise _failed(_phase_of(kind), kind, frame.message, True)
+
+
+def _phase_of(kind: errors.ErrorKind) -> Phase:
+    """Return REFUSED only for a kind that proves that the call did not run."""
+    is_certain = errors.ANSWERS[kind].execution is errors.Execution.NOT_RUN
+    return Phase.REFUSED if is_certain else Phase.SENT
 
 
 def _failed(
--- a/src/wagtailhollow/internal/entry/call.py
+++ b/src/wagtailhollow/internal/entry/call.py
@@ -10,6 +10,21 @@
 from ..table import model
 
 
+@dataclasses.dataclass
+class ExecutionRecord:
+    """What the entry knows of the execution of one call.
+
+    A refusal says "not run" only if neither of these stands against it.
+
+    :ivar may_have_run: an attempt was dispatched and not proven unexecuted.
+    :ivar is_key_free: the claim was read, and no earlier request with the
+        key had been executed then.
+    """
+
+    may_have_run: bool = False
+    is_key_free: bool = False
+
+
 @dataclasses.dataclass(frozen=True)
 class Call:
     """A call after identification, before admission.
@@ -20,6 +35,7 @@
     :ivar tokens: worst case of tokens, for limits.
     :ivar prefix: start of the prompt, for prefix affinity.
     :ivar deadline_s: monotonic time by which the answer has to end.
+    :ivar execution: what is known of its execution; changes with time.
     """
 
     call_id: str
@@ -36,6 +52,9 @@
     prefix: str
     deadline_s: float
     arrived_s: float = dataclasses.field(default_factory=time.monotonic)
+    execution: ExecutionRecord = dataclasses.field(
+        default_factory=ExecutionRecord, compare=False
+    )
 
     def remaining_s(self) -> float:
         """Return the time left until the deadline."""
--- a/src/wagtailhollow/internal/entry/claimed_calls.py
+++ b/src/wagtailhollow/internal/entry/claimed_calls.py
@@ -1,9 +1,14 @@
-"""Calls that must run at most once: claim, dispatch, settle, replay."""
+"""Calls that must run at most once: claim, dispatch, settle, replay.
+
+``proof/at_most_once.py`` specifies the protocol; each of its actions names
+the function here, in the ledger or in the claim book that implements it.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import dataclasses
+import time
 from collections.abc import Mapping
 
 from absl import logging
@@ -12,22 +17,23 @@
 from ..claims import claims
 from ..observability import metrics
 from ..platform import api
-from ..routing import load_view
+from ..routing import load_view, policy
 from ..wire import connection, pool
 from ..wire.gen import ttypes
 from . import attempts, calls
 from . import call as call_module
 
 MAX_TURNS = 4
-SETTLE_TIMEOUT_S = 2.0
-SETTLE_ATTEMPTS = 5
-SETTLE_PAUSE_S = 0.3
+ASK_TIMEOUT_S = 2.0
+MAX_UNREACHABLE = 5
+"""How often an agent is asked that does not answer."""
 
-_STATES = {
-    ttypes.OutcomeState.NOT_RUN: 'not_run',
-    ttypes.OutcomeState.DONE: 'done',
-    ttypes.OutcomeState.UNKNOWN: 'unknown',
-}
+ASK_PAUSE_S = 0.3
+GIVE_UP_AGE_S = 600.0
+"""Age of a claim from which its silent agent is not waited for any more.
+
+The agent's own record of the call has expired by then.
+"""
 
 
 class ClaimedCalls:
@@ -42,7 +48,7 @@
     ) -> None:
         self._book = book
         self._runner = runner
-        self._peers = peers
+        self._inquiry = Inquiry(peers)
         self._view = view
 
     async def handle(
@@ -52,160 +58,263 @@
         sink: call_module.AnswerSink,
     ) -> None:
         """Answer *call*: result, proven not run, or may have run."""
-        key = call.idempotency_key or call.call_id
-        fingerprint = claims.fingerprint(call.method, call.path, call.body)
-        tried: set[str] = set()
+        claimed_call = _ClaimedCall(
+            self._book, self._runner, self._inquiry, self._view, handler, call
+        )
+        await claimed_call.answer(sink)
+
+
+class Inquiry:
+    """Asks agents what became of claims."""
+
+    def __init__(self, peers: pool.PeerPool) -> None:
+        self._peers = peers
+
+    async def wait(
+        self, claim: claims.Claim, deadline_s: float
+    ) -> ttypes.CallOutcome:
+        """Return the outcome, waiting until it is known or the deadline.
+
+        IN_PROGRESS means that nothing is known yet.
+
+        :param deadline_s: monotonic time.
+        """
+        unreachable = 0
+        while True:
+            outcome = await self.once(claim)
+            if outcome is None:
+                unreachable += 1
+            elif outcome.state != ttypes.OutcomeState.IN_PROGRESS:
+                return outcome
+            is_late = time.monotonic() >= deadline_s
+            if is_late or unreachable >= MAX_UNREACHABLE:
+                return ttypes.CallOutcome(ttypes.OutcomeState.IN_PROGRESS)
+            await asyncio.sleep(ASK_PAUSE_S)
+
+    async def once(self, claim: claims.Claim) -> ttypes.CallOutcome | None:
+        """Ask once over a new connection; None if no answer came.
+
+        The kept connection may be the one that went silent.
+        """
+        message = ttypes.CancelIfNotStarted(
+            claim.ticket(), claim.target, claim.incarnation
+        )
         try:
-            for _ in range(MAX_TURNS):
-                found = await self._book.find(call.organisation, key)
-                if found is not None and found.fingerprint != fingerprint:
-                    raise errors.Refusal(
-                        errors.ErrorKind.KEY_REUSED,
-                        'the idempotency key was used for another request',
-                    )
-                if found is not None and found.state != 'not_run':
-                    found = await self._settle_other(found)
-                    if found.state != 'not_run':
-                        await self._replay(found, call, sink)
-                        return
-                candidate = await handler.choose(call, tried)
-                tried.add(candidate.target)
-                claim = self._new_claim(call, key, fingerprint, candidate)
-                with contextlib.suppress(api.Conflict):
-                    claim = await self._book.take(claim, found)
-                    if await self._run(handler, call, claim, candidate, sink):
-                        return
+            conn = await self._peers.fresh(claim.address)
+        except (OSError, EOFError, TimeoutError, errors.Refusal) as exc:
+            logging.info('agent of %s not reached: %r', claim.target, exc)
+            return None
+        try:
+            outcome = await conn.request(message, ASK_TIMEOUT_S)
+        except (
+            connection.ConnectionLost,
+            TimeoutError,
+            errors.Refusal,
+        ) as exc:
+            # A refused inquiry says nothing about the call that it is about.
+            logging.info('agent of %s gave no outcome: %r', claim.target, exc)
+            return None
+        finally:
+            conn.close('settled')
+        return outcome if isinstance(outcome, ttypes.CallOutcome) else None
+
+
+class _ClaimedCall:
+    """One request with a key, from the first look at its claim to the end."""
+
+    def __init__(
+        self,
+        book: claims.ClaimBook,
+        runner: attempts.AttemptRunner,
+        inquiry: Inquiry,
+        view: load_view.LoadView,
+        handler: calls.CallHandler,
+        call: call_module.Call,
+    ) -> None:
+        self._book = book
+        self._runner = runner
+        self._inquiry = inquiry
+        self._view = view
+        self._handler = handler
+        self._call = call
+        self._key = call.idempotency_key or claims.key_of_unkeyed_call(
+            call.call_id
+        )
+        self._fingerprint = claims.fingerprint(
+            call.service_name, call.method, call.path, call.body
+        )
+        self._tried: set[str] = set()
+        self._own: claims.Claim | None = None
+
+    async def answer(self, sink: call_module.AnswerSink) -> None:
+        """Answer through *sink*; raises Refusal."""
+        try:
+            for turn in range(1, MAX_TURNS + 1):
+                previous = self._own or await self._find_free(sink)
+                if previous is _ANSWERED:
+                    return
+                if await self._take_and_run(previous, turn, sink):
+                    return
         except api.PlatformUnavailable as exc:
-            # Nothing was dispatched: a dispatch needs a settled claim, and
-            # what fails after it is handled in _run.
+            # A dispatch needs a settled claim, and what fails after it does
+            # not raise this.
             raise errors.Refusal(
                 errors.ErrorKind.PLATFORM_UNAVAILABLE,
                 'calls that must not be repeated wait for the platform',
                 retry_after_s=2.0,
             ) from exc
+        finally:
+            if self._own is not None:
+                await self._record(self._own, 'not_run')
         raise errors.Refusal(
             errors.ErrorKind.OVERLOADED,
             'no target took the call',
             retry_after_s=1.0,
         )
 
-    def _new_claim(self, call, key, fingerprint, candidate) -> claims.Claim:
+    async def _find_free(
+        self, sink: call_module.AnswerSink
+    ) -> claims.Claim | _Answered | None:
+        """Return what a new claim replaces, or answer from the present one.
+
+        :raises Refusal: an earlier request with the key decides the answer.
+        """
+        self._call.execution.is_key_free = False
+        found = await self._book.find(self._call.organisation, self._key)
+        if found is None or found.is_expired():
+            self._call.execution.is_key_free = True
+            return found
+        if found.fingerprint != self._fingerprint:
+            raise errors.Refusal(
+                errors.ErrorKind.KEY_REUSED,
+                'the idempotency key was used for another request',
+            )
+        if found.state == 'claimed':
+            found = await self._settle_other(found)
+        if found.state == 'not_run':
+            self._call.execution.is_key_free = True
+            return found
+        await self._replay(found, sink)
+        return _ANSWERED
+
+    async def _settle_other(self, found: claims.Claim) -> claims.Claim:
+        """Find out what became of another request's claim."""
+        outcome = await self._inquiry.once(found)
+        if outcome is None and found.age_s() > GIVE_UP_AGE_S:
+            return dataclasses.replace(found, state='unknown')
+        if outcome is None or outcome.state not in _STATES:
+            return found
+        state = _STATES[outcome.state]
+        answer = _recorded(outcome) if state == 'done' else None
+        if state != 'not_run':
+            await self._record(found, state, answer)
+        return dataclasses.replace(found, state=state, answer=answer)
+
+    async def _replay(
+        self, found: claims.Claim, sink: call_module.AnswerSink
+    ) -> None:
+        self._count(found.state)
+        if found.state == 'done' and found.answer is not None:
+            await _send(sink, found.answer)
+            return
+        if found.state == 'claimed':
+            raise errors.Refusal(
+                errors.ErrorKind.IN_PROGRESS,
+                'an earlier call with this key has not been settled',
+                retry_after_s=1.0,
+            )
+        raise _unknown(
+            'an earlier call with this key ran; its answer was not kept'
+            if found.state == 'done'
+            else 'an earlier call with this key may have run'
+        )
+
+    async def _take_and_run(
+        self,
+        previous: claims.Claim | None,
+        turn: int,
+        sink: call_module.AnswerSink,
+    ) -> bool:
+        """Claim and dispatch once; return False if another turn may follow."""
+        candidate = await self._handler.choose(self._call, self._tried)
+        self._tried.add(candidate.target)
+        claim = self._new_claim(candidate)
+        self._own = None
+        try:
+            claim = await self._book.take(claim, previous)
+        except api.Conflict:
+            self._call.execution.is_key_free = False
+            return False
+        if await self._run(claim, candidate, turn, sink):
+            return True
+        self._own = claim
+        return False
+
+    def _new_claim(self, candidate: policy.Candidate) -> claims.Claim:
         report = self._view.report(candidate.target)
         if report is None:
             raise errors.Refusal(
                 errors.ErrorKind.NO_TARGET, 'the target was lost'
             )
         return claims.new_claim(
-            call.organisation,
-            key,
-            fingerprint,
+            self._call.organisation,
+            self._key,
+            self._fingerprint,
             candidate.target,
             report.agent.incarnation,
-            candidate.address,
+            report.agent.address,
             report.load.agent_clock_ms,
         )
 
-    async def _run(self, handler, call, claim, candidate, sink) -> bool:
+    async def _run(
+        self,
+        claim: claims.Claim,
+        candidate: policy.Candidate,
+        turn: int,
+        sink: call_module.AnswerSink,
+    ) -> bool:
         """Dispatch once; return False if it is proven that it did not run."""
         recorder = RecordingSink(sink)
+        # The claim decides the incarnation and the address: the agent may
+        # have restarted since the claim was made, and only the incarnation
+        # that the claim names can prove what became of the call.
+        attempt = dataclasses.replace(
+            self._handler.attempt(self._call, candidate, turn, claim.ticket()),
+            candidate=dataclasses.replace(candidate, address=claim.address),
+            incarnation=claim.incarnation,
+        )
         try:
-            await self._runner.run(
-                handler.attempt(call, candidate, 1, claim.ticket()), recorder
-            )
+            await self._runner.run(attempt, recorder)
         except attempts.AttemptFailed as exc:
             if exc.phase is attempts.Phase.REFUSED:
-                await self._record(claim, 'not_run')
                 return False
-            outcome = await self._ask(claim)
-            return await self._after_ask(claim, outcome, exc, sink)
-        metrics.claim_outcomes.labels(call.service_name, 'done').inc()
+            outcome = await self._inquiry.wait(claim, self._call.deadline_s)
+            return await self._after_inquiry(claim, outcome, exc, recorder)
+        self._count('done')
         await self._record(claim, 'done', recorder.recorded())
         return True
 
-    async def _after_ask(self, claim, outcome, exc, sink) -> bool:
+    async def _after_inquiry(
+        self,
+        claim: claims.Claim,
+        outcome: ttypes.CallOutcome,
+        exc: attempts.AttemptFailed,
+        recorder: RecordingSink,
+    ) -> bool:
         if outcome.state == ttypes.OutcomeState.NOT_RUN:
-            await self._record(claim, 'not_run')
+            self._call.execution.may_have_run = False
             return False
-        if outcome.state == ttypes.OutcomeState.DONE and not sink.is_started:
-            answer = claims.RecordedAnswer(
-                outcome.status, outcome.headers, outcome.body
-            )
+        if outcome.state == ttypes.OutcomeState.DONE:
+            answer = _recorded(outcome)
             await self._record(claim, 'done', answer)
-            await _send(sink, answer)
-            return True
+            if answer is not None:
+                self._count('done')
+                await recorder.complete(answer)
+                return True
         if outcome.state == ttypes.OutcomeState.UNKNOWN:
             await self._record(claim, 'unknown')
-        raise errors.Refusal(
-            errors.ErrorKind.OUTCOME_UNKNOWN,
-            f'the call may have run: {exc.refusal.message}',
-        )
-
-    async def _settle_other(self, found: claims.Claim) -> claims.Claim:
-        """Find out what became of another entry's claim."""
-        if found.state != 'claimed':
-            return found
-        outcome = await self._ask(found, attempts_left=1)
-        state = _STATES.get(outcome.state)
-        if state is None:
-            return found
-        answer = (
-            claims.RecordedAnswer(
-                outcome.status, outcome.headers, outcome.body
-            )
-            if state == 'done'
-            else None
-        )
-        return await self._book.settle(found, state, answer)
-
-    async def _ask(
-        self, claim: claims.Claim, attempts_left: int = SETTLE_ATTEMPTS
-    ) -> ttypes.CallOutcome:
-        """Ask the agent over a new connection what became of a claim.
-
-        The kept connection may be the one that went silent. No answer from
-        the agent means that nothing is known yet, hence IN_PROGRESS.
-        """
-        message = ttypes.CancelIfNotStarted(
-            claim.ticket(), claim.target, claim.incarnation
-        )
-        for _ in range(attempts_left):
-            try:
-                conn = await self._peers.fresh(claim.address)
-            except (OSError, TimeoutError, errors.Refusal) as exc:
-                logging.info('agent of %s not reached: %r', claim.target, exc)
-                await asyncio.sleep(SETTLE_PAUSE_S)
-                continue
-            try:
-                outcome = await conn.request(message, SETTLE_TIMEOUT_S)
-                if outcome.state != ttypes.OutcomeState.IN_PROGRESS:
-                    return outcome
-            except (connection.ConnectionLost, TimeoutError):
-                pass
-            finally:
-                conn.close('settled')
-            await asyncio.sleep(SETTLE_PAUSE_S)
-        return ttypes.CallOutcome(ttypes.OutcomeState.IN_PROGRESS)
-
-    async def _replay(
-        self,
-        found: claims.Claim,
-        call: call_module.Call,
-        sink: call_module.AnswerSink,
-    ) -> None:
-        metrics.claim_outcomes.labels(call.service_name, found.state).inc()
-        if found.state == 'done' and found.answer is not None:
-            await _send(sink, found.answer)
-            return
-        if found.state == 'claimed':
-            raise errors.Refusal(
-                errors.ErrorKind.IN_PROGRESS,
-                'an earlier call with this key has not been settled',
-                retry_after_s=1.0,
-            )
-        raise errors.Refusal(
-            errors.ErrorKind.OUTCOME_UNKNOWN,
-            'an earlier call with this key may have run',
-        )
+        self._count('unknown')
+        raise _unknown(f'the call may have run: {exc.refusal.message}')
 
     async def _record(
         self,
@@ -219,6 +328,9 @@
         except (api.PlatformUnavailable, api.Conflict) as exc:
             logging.warning('outcome not recorded: %r', exc)
 
+    def _count(self, state: str) -> None:
+        metrics.claim_outcomes.labels(self._call.service_name, state).inc()
+
 
 class RecordingSink:
     """Passes an answer on and keeps a copy for the claim."""
@@ -227,7 +339,8 @@
         self._sink = sink
         self._status = 0
         self._headers: Mapping[str, str] = {}
-        self._body = bytearray()
+        self._body: bytearray | None = bytearray()
+        self._sent_bytes = 0
 
     @property
     def is_started(self) -> bool:
@@ -246,19 +359,64 @@
 
     async def write(self, data: bytes) -> None:
         """See :class:`call.AnswerSink`."""
-        self._body += data
+        self._sent_bytes += len(data)
+        if self._sent_bytes > claims.MAX_RECORDED_BODY_BYTES:
+            self._body = None
+        if self._body is not None:
+            self._body += data
         await self._sink.write(data)
 
     async def finish(self) -> None:
         """See :class:`call.AnswerSink`."""
         await self._sink.finish()
 
-    def recorded(self) -> claims.RecordedAnswer:
-        """Return the copy."""
+    def recorded(self) -> claims.RecordedAnswer | None:
+        """Return the copy, or None if the answer is too large to keep."""
+        if self._body is None:
+            return None
         return claims.RecordedAnswer(
             self._status, self._headers, bytes(self._body)
         )
 
+    async def complete(self, answer: claims.RecordedAnswer) -> None:
+        """Send what is missing of *answer*, of which a part may be sent.
+
+        The agent recorded the same execution whose bytes were relayed, so
+        the rest follows at the position that was reached.
+        """
+        if not self._sink.is_started:
+            await self._sink.start(answer.status, answer.headers)
+        rest = answer.body[self._sent_bytes :]
+        if rest:
+            await self._sink.write(rest)
+        await self._sink.finish()
+
+
+class _Answered:
+    """Says that the caller has its answer."""
+
+
+_ANSWERED = _Answered()
+
+_STATES = {
+    ttypes.OutcomeState.NOT_RUN: 'not_run',
+    ttypes.OutcomeState.DONE: 'done',
+    ttypes.OutcomeState.UNKNOWN: 'unknown',
+}
+
+
+def _recorded(outcome: ttypes.CallOutcome) -> claims.RecordedAnswer | None:
+    """Return the answer in *outcome*, or None if the agent kept none."""
+    if outcome.status is None:
+        return None
+    return claims.RecordedAnswer(
+        outcome.status, outcome.headers or {}, outcome.body or b''
+    )
+
+
+def _unknown(message: str) -> errors.Refusal:
+    return errors.Refusal(errors.ErrorKind.OUTCOME_UNKNOWN, message)
+
 
 async def _send(
     sink: call_module.AnswerSink, answer: claims.RecordedAnswer
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -28,7 +28,15 @@
 from ..table import model, queries
 from ..wire import auth, connection, pool, server, tls
 from ..wire.gen import ttypes
-from . import admission, app, attempts, calls, claimed_calls, host_rows
+from . import (
+    admission,
+    app,
+    attempts,
+    calls,
+    claimed_calls,
+    host_rows,
+    http_protocol,
+)
 
 PEERS_PERIOD_S = 0.5
 """How often the wanted peers are worked out: liveness changes with time."""
@@ -150,8 +158,9 @@
                 *http.operator_routes(self._not_ready_reason),
             ],
             cfg.listen_http,
-            cfg.request_limits.max_connections,
-            cfg.request_limits.max_header_bytes,
+            protocol=http_protocol.bounded_protocol(
+                cfg.request_limits, self._app.overloaded
+            ),
         )
         self._agents: list[str] = []
         self._tasks: list[asyncio.Task[None]] = []
--- /dev/null
+++ b/src/wagtailhollow/internal/entry/http_protocol.py
@@ -0,0 +1,179 @@
+"""Bounds on callers' connections, below the application.
+
+uvicorn's parser bounds neither the size of a request head nor the time that
+it takes, so both are bounded here, together with the number of connections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from starlette import types
+from uvicorn.protocols.http import httptools_impl
+
+from ... import errors
+from ..settings import schema
+
+LINGER_S = 1.0
+"""How long a refused connection is read on, so that no reset overtakes the
+answer."""
+
+MAX_EXCESS_CONNECTIONS = 128
+"""Connections over the limit that are answered; further ones are closed."""
+
+_REASONS = {
+    400: 'Bad Request',
+    408: 'Request Timeout',
+    431: 'Request Header Fields Too Large',
+}
+
+
+def bounded_protocol(
+    limits: schema.RequestLimits, overloaded: types.ASGIApp
+) -> type[BoundedProtocol]:
+    """Return the protocol class for *limits*.
+
+    :param overloaded: application that answers connections over the limit.
+    """
+    return type(
+        'BoundedProtocol',
+        (BoundedProtocol,),
+        {'limits': limits, 'overloaded': staticmethod(overloaded)},
+    )
+
+
+class BoundedProtocol(httptools_impl.HttpToolsProtocol):
+    """One caller's connection."""
+
+    limits: schema.RequestLimits
+    overloaded: types.ASGIApp
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """See :class:`asyncio.Protocol`."""
+        super().connection_made(transport)
+        self._is_refused = False
+        self._is_in_head = True
+        self._head_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
+        excess = len(self.connections) - self.limits.max_connections
+        if excess > MAX_EXCESS_CONNECTIONS:
+            self._is_refused = True
+            transport.abort()
+            return
+        if excess > 0:
+            self.app = self.overloaded
+        self._restart_timer(self.limits.body_timeout_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """See :class:`asyncio.Protocol`."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """See :class:`asyncio.Protocol`."""
+        if self._is_refused:
+            return
+        if self._is_in_head:
+            self._head_bytes += len(data)
+            if self._timer is None:
+                self._restart_timer(self.limits.body_timeout_s)
+        super().data_received(data)
+        limit = self.limits.max_header_bytes
+        if self._is_in_head and self._head_bytes > limit:
+            self._refuse(
+                errors.ErrorKind.HEADER_TOO_LARGE,
+                f'the head of the request exceeds {limit} bytes',
+            )
+
+    def on_message_begin(self) -> None:
+        """Start the time for the head of a request."""
+        super().on_message_begin()
+        self._restart_timer(self.limits.body_timeout_s)
+
+    def on_headers_complete(self) -> None:
+        """Start the time for the body of a request.
+
+        The application answers a body that is too slow; this later limit
+        closes connections whose body the application does not read.
+        """
+        self._is_in_head = False
+        super().on_headers_complete()
+        self._restart_timer(2 * self.limits.body_timeout_s)
+
+    def on_message_complete(self) -> None:
+        """Wait for the next request."""
+        super().on_message_complete()
+        self._is_in_head = True
+        self._head_bytes = 0
+        self._stop_timer()
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer bytes that are not HTTP."""
+        self._refuse(errors.ErrorKind.BAD_REQUEST, msg)
+
+    def _restart_timer(self, delay_s: float) -> None:
+        self._stop_timer()
+        self._timer = self.loop.call_later(delay_s, self._timed_out)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _timed_out(self) -> None:
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            # An answer is under way; closing now would cut it.
+            self._restart_timer(self.limits.body_timeout_s)
+        elif self._is_in_head and self._head_bytes:
+            self._refuse(
+                errors.ErrorKind.SLOW_SENDER,
+                'the head of the request did not arrive within '
+                f'{self.limits.body_timeout_s} s',
+            )
+        else:
+            self.transport.close()
+
+    def _refuse(self, kind: errors.ErrorKind, message: str) -> None:
+        """Answer below the application and close the connection.
+
+        An answer under way is cut instead: a second head in it could be
+        taken for a part of it.
+        """
+        self._is_refused = True
+        self._stop_timer()
+        cycle = self.cycle
+        if cycle is not None and not cycle.response_complete:
+            self.transport.close()
+            return
+        self.transport.write(_raw_answer(kind, message))
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        self.loop.call_later(LINGER_S, self.transport.close)
+
+
+def _raw_answer(kind: errors.ErrorKind, message: str) -> bytes:
+    # Whether the request has an Idempotency-Key is not known yet.
+    answer = errors.ANSWERS[kind]
+    if answer.retry is errors.Retry.LATER:
+        answer = answer.uncertain()
+    document = {
+        'error': {
+            'kind': kind.value,
+            'type': kind.value,
+            'message': message,
+            'execution': answer.execution.value,
+            'retry': answer.retry.value,
+            'request_id': '',
+        }
+    }
+    body = json.dumps(document).encode()
+    head = (
+        f'HTTP/1.1 {answer.status} {_REASONS[answer.status]}\r\n'
+        'content-type: application/json\r\n'
+        f'content-length: {len(body)}\r\n'
+        f'x-execution: {answer.execution.value}\r\n'
+        'connection: close\r\n\r\n'
+    )
+    return head.encode() + body
--- a/src/wagtailhollow/internal/platform/http_store.py
+++ b/src/wagtailhollow/internal/platform/http_store.py
@@ -15,6 +15,7 @@
 
 import aiohttp
 
+from ..daemon import send_once
 from ..observability import metrics
 from . import api
 
@@ -121,7 +122,8 @@
     ) -> AsyncIterator[aiohttp.ClientResponse]:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(keepalive_timeout=KEEP_ALIVE_S)
+                connector=aiohttp.TCPConnector(keepalive_timeout=KEEP_ALIVE_S),
+                middlewares=(send_once.send_once,),
             )
         result = 'unavailable'
         try:
--- a/src/wagtailhollow/internal/platform/settled_put.py
+++ b/src/wagtailhollow/internal/platform/settled_put.py
@@ -31,11 +31,15 @@
     """
     try:
         return await store.put(key, value, expected)
-    except api.PlatformUnavailable:
+    except (api.PlatformUnavailable, api.Conflict):
+        # A conflict is read back too: something between here and the
+        # platform may have sent the write twice, and then the second copy
+        # conflicts with the first.
         found = await _read_back(store, key)
     if found is not None and is_applied(found.value):
         return found
-    if found is not None and found.version != expected:
+    version = api.ABSENT if found is None else found.version
+    if version != expected:
         raise api.Conflict(key)
     # Unchanged so far, but the write may still be on its way to the platform.
     raise api.PlatformUnavailable(f'{key}: the write could not be settled')
