Let the fakes end connections and keep silent after a write

Cause: fail_after of the plain service answered 500 instead of closing the connection, so no test saw a call that executed without an answer. The platform fake could not keep silent after a write took effect.

--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -1,10 +1,12 @@
 """Fake of a plain service that takes orders and counts executions.
 
-``POST /orders`` with ``{"key": ...}`` executes an order; ``GET /executions``
-returns key to number of executions; ``GET /orders/<key>`` looks one up. Faults
-by ``POST /faults``: ``delay_s`` before the answer, after the execution;
-``delay_before_s`` before the execution; ``fail_after`` (execute, then close
-the connection without an answer).
+``POST /orders`` and ``PUT /orders`` with ``{"key": ...}`` execute an order;
+``GET /executions`` returns key to number of executions; ``GET /orders/<key>``
+looks one up. Faults by ``POST /faults``: ``delay_s`` before the answer, after
+the execution; ``delay_before_s`` before the execution; ``fail_after``
+(execute, then close the connection without an answer); ``fail_before`` (close
+it without executing); ``cut_answer`` (execute, then close it in the middle of
+the answer); ``answer_bytes`` (length of the padding in the answer).
 """
 
 from __future__ import annotations
@@ -12,8 +14,11 @@
 import asyncio
 import collections
 import dataclasses
+import json
 import secrets
 import time
+from collections.abc import AsyncIterator, Callable
+from typing import Any
 
 from starlette import applications, requests, responses, routing
 
@@ -27,6 +32,9 @@
     delay_s: float = 0.0
     delay_before_s: float = 0.0
     fail_after: bool = False
+    fail_before: bool = False
+    cut_answer: bool = False
+    answer_bytes: int = 0
 
 
 class PlainService:
@@ -44,7 +52,7 @@
         """Return the ASGI application."""
         return applications.Starlette(
             routes=[
-                routing.Route('/orders', self._order, methods=['POST']),
+                routing.Route('/orders', self._order, methods=['POST', 'PUT']),
                 routing.Route('/orders/{key}', self._look_up),
                 routing.Route('/executions', self._get_executions),
                 routing.Route('/load', self._load),
@@ -54,6 +62,10 @@
 
     async def _order(self, req: requests.Request) -> responses.Response:
         document = await req.json()
+        abort = req.scope['abort_connection']
+        if self._faults.fail_before:
+            abort()
+            return responses.Response()
         self._running += 1
         try:
             await asyncio.sleep(self._faults.delay_before_s)
@@ -64,10 +76,16 @@
             self._running -= 1
             self._completed += 1
         if self._faults.fail_after:
-            raise ConnectionAbortedError('answer lost')
-        return responses.JSONResponse(
-            {'key': document['key'], 'order': number}, 201
-        )
+            abort()
+            return responses.Response()
+        answer = {
+            'key': document['key'],
+            'order': number,
+            'padding': 'x' * self._faults.answer_bytes,
+        }
+        if self._faults.cut_answer:
+            return responses.StreamingResponse(_half(answer, abort), 201)
+        return responses.JSONResponse(answer, 201)
 
     async def _look_up(self, req: requests.Request) -> responses.Response:
         key = req.path_params['key']
@@ -95,6 +113,15 @@
         return responses.JSONResponse(dataclasses.asdict(self._faults))
 
 
+async def _half(
+    answer: dict[str, Any], abort: Callable[[], None]
+) -> AsyncIterator[bytes]:
+    text = json.dumps(answer).encode()
+    yield text[: len(text) // 2]
+    await asyncio.sleep(0.1)
+    abort()
+
+
 if __name__ == '__main__':
     args = serving.parser(__doc__).parse_args()
     serving.run(lambda: PlainService().app(), args.port)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,6 +2,7 @@
 
 Faults by ``POST /faults`` with a JSON object: ``down`` (every call fails),
 ``delay_s``, ``lose_answers`` (that many writes take effect but answer 500),
+``mute_answers`` (that many writes take effect and are never answered),
 ``freeze_hosts`` (the host list stops changing), ``mute_watches`` (watches
 never answer, though other calls do), ``down_after_write`` (the platform goes
 down as soon as the next write has been answered, before any watch fires).
@@ -20,6 +21,9 @@
 
 from . import serving
 
+MUTE_S = 30.0
+"""Longer than every client waits."""
+
 
 @dataclasses.dataclass
 class Faults:
@@ -28,6 +32,7 @@
     down: bool = False
     delay_s: float = 0.0
     lose_answers: int = 0
+    mute_answers: int = 0
     freeze_hosts: bool = False
     mute_watches: bool = False
     down_after_write: bool = False
@@ -93,6 +98,9 @@
         if self._faults.lose_answers > 0:
             self._faults.lose_answers -= 1
             return _json({'error': 'answer lost'}, 500)
+        if self._faults.mute_answers > 0:
+            self._faults.mute_answers -= 1
+            await asyncio.sleep(MUTE_S)
         return _json({'version': self._revision})
 
     def _get(self, key: str, known: str | None) -> responses.Response:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -7,6 +7,7 @@
 
 import uvicorn
 from starlette import applications
+from uvicorn.protocols.http import httptools_impl
 
 
 def parser(description: str) -> argparse.ArgumentParser:
@@ -16,6 +17,15 @@
     return result
 
 
+class AbortableProtocol(httptools_impl.HttpToolsProtocol):
+    """Lets a handler end its connection: ``scope['abort_connection']()``."""
+
+    def on_message_begin(self) -> None:
+        """Add the function to the scope of a request."""
+        super().on_message_begin()
+        self.scope['abort_connection'] = self.transport.abort
+
+
 def run(create: Callable[[], applications.Starlette], port: int) -> None:
     """Serve the application on loopback until the process is ended."""
     uvicorn.run(
@@ -24,6 +34,7 @@
         port=port,
         log_level='warning',
         access_log=False,
+        http=AbortableProtocol,
         timeout_graceful_shutdown=1,
         # Longer than any pause of a test between two requests, or a request
         # may be sent on a connection that is being closed.
