--- /dev/null
+++ b/tests/nocover/test_at_most_once.py
@@ -0,0 +1,289 @@
+"""P5 and P6 with separate processes, signals and lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+
+import pytest
+
+from standins import deployment
+from tests import storm
+
+SEED = 11
+STORM_S = 8.0
+
+
+@pytest.fixture(scope='module')
+def run_scenario():
+    """Return a function that runs a scenario against one deployment.
+
+    The scenarios of a module share a deployment: starting one takes longer
+    than a scenario.
+    """
+    loop = asyncio.new_event_loop()
+    cluster = deployment.Deployment(storm.SHAPE)
+    loop.run_until_complete(cluster.__aenter__())
+
+    async def run_and_heal(scenario):
+        try:
+            await scenario(cluster)
+        finally:
+            await _heal(cluster)
+
+    yield lambda scenario: loop.run_until_complete(run_and_heal(scenario))
+    loop.run_until_complete(cluster.__aexit__())
+    loop.close()
+
+
+CALM_TARGET = {
+    'delay_s': 0.0,
+    'delay_before_s': 0.0,
+    'fail_after': False,
+    'cut_answer': False,
+    'answer_bytes': 0,
+}
+
+
+def _urls(cluster):
+    return [item.url for item in cluster.named('entry-')]
+
+
+async def _fault_targets(cluster, **faults):
+    for item in cluster.named('plain-'):
+        await cluster.faults(item.name, **faults)
+
+
+async def _heal(cluster):
+    await cluster.faults(
+        'platform', down=False, lose_answers=0, mute_answers=0
+    )
+    await _fault_targets(cluster, **CALM_TARGET)
+    for item in cluster.named('entry-'):
+        item.signal(signal.SIGCONT)
+        if item.process.returncode is not None:
+            await cluster.restart(item.name)
+    await cluster.wait_ready()
+    await _wait_until_served(cluster)
+
+
+async def _wait_until_served(cluster):
+    """Wait until both entries reach agents again; reconnecting takes 2 s."""
+    for url in _urls(cluster):
+        for _ in range(50):
+            probe = storm.Order('probe', False)
+            if await storm.send(cluster, url, probe) == 'result':
+                break
+            await asyncio.sleep(0.1)
+
+
+async def _wait_until_executed(cluster, name):
+    for _ in range(100):
+        if (await storm.executions(cluster))[name]:
+            return
+        await asyncio.sleep(0.03)
+    raise AssertionError(f'{name} was not executed')
+
+
+async def _target_of(cluster, name):
+    for item in cluster.named('plain-'):
+        if name in await cluster.get(f'{item.url}/executions'):
+            return item.name
+    raise AssertionError(f'{name} was not executed')
+
+
+@pytest.mark.parametrize('method', ['POST', 'PUT'])
+def test_target_that_ends_the_connection_after_executing_runs_once(
+    run_scenario, record_proof, method
+):
+    """Guards against an HTTP client that repeats a request by itself."""
+    record_proof('P6', f'target closes after a {method} took effect')
+
+    async def scenario(cluster):
+        await _fault_targets(cluster, fail_after=True)
+        order = storm.Order(f'after-{method}', True)
+        for url in _urls(cluster):
+            await storm.send(cluster, url, order, method)
+        await _fault_targets(cluster, fail_after=False)
+        await storm.send(cluster, _urls(cluster)[0], order, method)
+        assert (await storm.executions(cluster))[order.name] == 1
+        assert set(order.answers) == {'may_have_run'}, order
+
+    run_scenario(scenario)
+
+
+def test_answer_that_was_cut_is_never_reported_as_complete(
+    run_scenario, record_proof
+):
+    """Guards against a cut answer that is replayed as a whole one."""
+    record_proof('P5', 'target cuts the answer; retry through another entry')
+
+    async def scenario(cluster):
+        await _fault_targets(cluster, cut_answer=True, answer_bytes=3000)
+        order = storm.Order('cut', True)
+        for url in _urls(cluster):
+            await storm.send(cluster, url, order)
+        assert (await storm.executions(cluster))['cut'] == 1
+        assert 'result' not in order.answers
+        assert order.answers[-1] == 'may_have_run', order
+
+    run_scenario(scenario)
+
+
+def test_platform_write_that_takes_effect_without_an_answer_is_settled(
+    run_scenario, record_proof
+):
+    """Guards against a lost or missing answer of the platform."""
+    record_proof('P6', 'platform answers lost, then silent after effect')
+
+    async def scenario(cluster):
+        for fault in ('lose_answers', 'mute_answers'):
+            await cluster.faults('platform', **{fault: 1})
+            order = storm.Order(f'settled-{fault}', True)
+            for url in _urls(cluster):
+                await storm.send(cluster, url, order, timeout_s=10)
+            assert order.answers == ['result', 'result'], order
+            assert (await storm.executions(cluster))[order.name] == 1
+
+    run_scenario(scenario)
+
+
+def test_refusals_while_the_platform_is_down_are_true(
+    run_scenario, record_proof
+):
+    """Guards against "not run" for a key whose first request did run."""
+    record_proof('P5', 'platform down before, during and after a call')
+
+    async def scenario(cluster):
+        first, second = _urls(cluster)
+        done = storm.Order('ran-before', True)
+        assert await storm.send(cluster, first, done) == 'result'
+        await cluster.faults('platform', down=True)
+        unkeyed = storm.Order('unkeyed', False)
+        assert await storm.send(cluster, first, unkeyed) == 'not_run'
+        assert await storm.send(cluster, second, done) == 'may_have_run'
+        assert done.kinds[-1] == 'platform_unavailable'
+        await cluster.faults('platform', down=False)
+        assert await storm.send(cluster, second, done) == 'result'
+        await _fault_targets(cluster, delay_s=1.0)
+        running = storm.Order('ran-during', True)
+        task = asyncio.create_task(storm.send(cluster, first, running))
+        await _wait_until_executed(cluster, 'ran-during')
+        await cluster.faults('platform', down=True)
+        assert await task == 'result'
+        assert await storm.send(cluster, second, running) == 'may_have_run'
+        await cluster.faults('platform', down=False)
+        assert await storm.send(cluster, second, running) == 'result'
+        counts = await storm.executions(cluster)
+        assert counts['unkeyed'] == 0
+        assert counts['ran-before'] == counts['ran-during'] == 1
+
+    run_scenario(scenario)
+
+
+def test_caller_that_leaves_or_whose_entry_dies_gets_the_result_later(
+    run_scenario, record_proof
+):
+    """Guards against a second execution after the first answer was lost."""
+    record_proof('P6', 'caller leaves; entry killed; entry paused and resumed')
+
+    async def scenario(cluster):
+        first, second = _urls(cluster)
+        entry = cluster.named('entry-')[0]
+        await _fault_targets(cluster, delay_s=0.6)
+        left = storm.Order('left', True)
+        await storm.send(cluster, first, left, timeout_s=0.3)
+        await asyncio.sleep(0.6)
+        assert await storm.send(cluster, second, left) == 'result'
+        paused = storm.Order('paused', True)
+        task = asyncio.create_task(storm.send(cluster, first, paused))
+        await _wait_until_executed(cluster, 'paused')
+        entry.signal(signal.SIGSTOP)
+        await asyncio.sleep(0.7)
+        assert await storm.send(cluster, second, paused) == 'result'
+        entry.signal(signal.SIGCONT)
+        assert await task == 'result'
+        killed = storm.Order('killed', True)
+        task = asyncio.create_task(storm.send(cluster, first, killed))
+        await _wait_until_executed(cluster, 'killed')
+        await cluster.kill(entry.name)
+        assert await task == 'none'
+        await asyncio.sleep(0.7)
+        assert await storm.send(cluster, second, killed) == 'result'
+        await cluster.restart(entry.name)
+        counts = await storm.executions(cluster)
+        assert counts['left'] == counts['paused'] == counts['killed'] == 1
+
+    run_scenario(scenario)
+
+
+def test_agent_that_restarts_during_a_call_leaves_it_unknown(
+    run_scenario, record_proof
+):
+    """Guards against "not run" from an agent that lost its records."""
+    record_proof('P5', 'agent killed during a call and restarted, twice')
+
+    async def scenario(cluster):
+        first, second = _urls(cluster)
+        for turn in range(2):
+            await _fault_targets(cluster, delay_s=1.0)
+            order = storm.Order(f'restart-{turn}', True)
+            task = asyncio.create_task(
+                storm.send(cluster, first, order, timeout_s=10)
+            )
+            await _wait_until_executed(cluster, order.name)
+            ran_at = await _target_of(cluster, order.name)
+            await cluster.kill(f'agent-{ran_at}')
+            await cluster.restart(f'agent-{ran_at}')
+            assert await task == 'may_have_run', order
+            assert await storm.send(cluster, second, order) == 'may_have_run'
+            assert (await storm.executions(cluster))[order.name] == 1
+
+    run_scenario(scenario)
+
+
+def test_organisations_do_not_meet_on_a_key_and_no_secret_is_logged(
+    run_scenario,
+):
+    """Guards against another organisation's answer, and secrets in logs."""
+
+    async def scenario(cluster):
+        url = f'{_urls(cluster)[0]}/v1/services/orders/orders'
+        for name in ('council', 'insurer'):
+            headers = {
+                'Authorization': f'Bearer key-{name}',
+                'Idempotency-Key': 'shared',
+            }
+            body = {'key': f'for-{name}'}
+            async with cluster.http.post(
+                url, json=body, headers=headers
+            ) as resp:
+                assert (await resp.json())['key'] == f'for-{name}'
+        for item in (*cluster.named('entry-'), *cluster.named('agent-')):
+            text = item.log_text()
+            for secret in ('key-council', 'key-insurer', 'not-a-real-secret'):
+                assert secret not in text
+
+    run_scenario(scenario)
+
+
+def test_storm_of_failures_runs_each_order_at_most_once_and_lies_to_nobody(
+    run_deployment, record_proof
+):
+    """Guards against combinations that the single cases do not reach."""
+
+    async def scenario(cluster):
+        wind = storm.Storm(cluster, SEED)
+        orders = await storm.place_orders(cluster, wind, STORM_S)
+        worst = storm.check(orders, await storm.executions(cluster))
+        print(f'seed {SEED}: {worst}; {json.dumps(wind.counts)}')
+        for guarantee in ('P5', 'P6'):
+            record_proof(
+                guarantee,
+                'SIGKILL, SIGSTOP, platform, target; at once',
+                SEED,
+                worst,
+            )
+
+    run_deployment(scenario, storm.SHAPE)
--- /dev/null
+++ b/tests/prove/test_at_most_once_storms.py
@@ -0,0 +1,28 @@
+"""Longer storms of failures for P5 and P6, with several seeds."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from tests import storm
+
+STORM_S = 20.0
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+def test_long_storm_runs_each_order_at_most_once_and_lies_to_nobody(
+    run_deployment, record_proof, seed
+):
+    """Guards against rare combinations of failures."""
+
+    async def scenario(cluster):
+        wind = storm.Storm(cluster, seed)
+        orders = await storm.place_orders(cluster, wind, STORM_S)
+        worst = storm.check(orders, await storm.executions(cluster))
+        print(f'seed {seed}: {worst}; {json.dumps(wind.counts)}')
+        for guarantee in ('P5', 'P6'):
+            record_proof(guarantee, 'all at once, 20 s', seed, worst)
+
+    run_deployment(scenario, storm.SHAPE)
