Keep connections of busy agents and wait on what entries report

Cause: an agent that left the host list or the entry's subset lost its connection at once, which cuts running answers; waiting for a version opened a connection to every node, 6,040 at the design scale. Now a connection stays until its calls are done, and entries report the table versions of their agents from heartbeats, so waiting asks the entries and only those agents that no entry speaks for. Ruled out: letting the operators' client trust the relays alone; it could not name who has not confirmed.

--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -154,7 +154,9 @@
             cfg.request_limits.max_connections,
             cfg.request_limits.max_header_bytes,
         )
-        self._agents: list[str] = []
+        self._agents: dict[str, str] = {}
+        self._connected_agents: dict[str, str] = {}
+        self._peer_versions: dict[str, int] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._started_s = time.monotonic()
         self._was_ready = False
@@ -245,12 +247,12 @@
     def _hosts_changed(self, change: document.Change) -> None:
         rows = hosts.from_rows(self._hosts.rows)
         self._duty.set_hosts(rows)
-        self._agents = [
-            row.address
+        self._agents = {
+            row.address: row.target
             for row in subset.agents_of_entry(
                 self._cfg.node, self._cfg.data_centre, rows
             )
-        ]
+        }
         self._entry_peers.set_hosts(rows)
         self._sharing = _entries_at_one_target(rows, len(self._agents))
         self._want_peers()
@@ -260,11 +262,19 @@
         )
 
     def _push(self, name: str) -> None:
-        """Send a change to the agents and, as a relay, to the entries."""
-        conns = self._peers.open_connections()
-        if self._duty.is_relay():
-            conns = self._all_peers()
-        self._sync.push(conns, name)
+        """Send a change to the agents and, as a relay, to own entries."""
+        is_relay = self._duty.is_relay()
+        self._sync.push(
+            [
+                conn
+                for conn in self._all_peers()
+                if conn.peer.role == ttypes.Role.AGENT
+                or (
+                    is_relay and conn.peer.data_centre == self._cfg.data_centre
+                )
+            ],
+            name,
+        )
 
     def _all_peers(self) -> list[connection.PeerConnection]:
         accepted = [
@@ -278,9 +288,17 @@
         # The seed peers are for a start while the platform is down.
         is_started = self._table_start.is_confirmed and self._hosts.version
         seeds = () if is_started else self._cfg.seed_peers
+        # An agent that has left the list keeps its connection until its
+        # calls are done, or their answers would be cut.
+        busy = {
+            address: target
+            for address, target in self._connected_agents.items()
+            if self._load_view.outstanding(target) > 0
+        }
+        self._connected_agents = {**busy, **self._agents}
         self._peers.want(
             [
-                *self._agents,
+                *self._connected_agents,
                 *self._duty.wanted_addresses(),
                 *self._entry_peers.addresses(),
                 *seeds,
@@ -301,6 +319,7 @@
             'in_progress': self._app.in_progress,
             'is_relay': self._duty.is_relay(),
             'platform_is_current': self._source.is_current(),
+            'agent_table_versions': self._peer_versions,
         }
 
     def _heard(
@@ -309,6 +328,15 @@
         self._duty.heard(conn.peer, message.documents)
         self._sync.notice_versions(conn, message.documents)
         self._table_start.heard(conn.peer.node, message.documents)
+        if conn.peer.role == ttypes.Role.AGENT:
+            self._peer_versions[conn.peer.node] = max(
+                (
+                    item.version
+                    for item in message.documents
+                    if item.name == self._table.name
+                ),
+                default=0,
+            )
         if message.load is not None:
             self._load_view.take(conn.peer, message.load, message.draining)
             self._admission.targets_changed(message.load)
@@ -325,6 +353,7 @@
             kept = self._peers.get(conn.peer.address)
             if kept is None or kept is conn:
                 self._load_view.forget(conn.peer.node)
+                self._peer_versions.pop(conn.peer.node, None)
 
     def _versions(self) -> list[ttypes.DocumentVersion]:
         versions = self._sync.versions()
--- a/src/wagtailhollow/internal/operators/reporting.py
+++ b/src/wagtailhollow/internal/operators/reporting.py
@@ -139,44 +139,79 @@
     timeout_s: float,
     progress: Callable[[str], None],
 ) -> outcome.Outcome:
-    """Wait until every listed node has the table in *version* or newer."""
+    """Wait until every listed node has the table in *version* or newer.
+
+    Entries know the versions of their agents from heartbeats, which saves a
+    connection to each agent; an agent that no entry speaks for is asked.
+    """
     started_s = time.monotonic()
-    left = {row.node: row for row in await client.hosts()}
-    total = len(left)
+    listed = await client.hosts()
+    entries = [row for row in listed if row.role == 'entry']
+    left = {row.node: row for row in listed}
     while True:
-        answers = await ask_all(client, left.values())
+        seen, answers = await _seen_versions(client, entries, left)
         left = {
             node: row
             for node, row in left.items()
-            if _table_version(answers[node]) < version
+            if seen.get(node, 0) < version
         }
         elapsed_s = time.monotonic() - started_s
-        progress(
-            f'{total - len(left)} of {total} nodes after {elapsed_s:.1f}s'
-        )
+        done = len(listed) - len(left)
+        progress(f'{done} of {len(listed)} nodes after {elapsed_s:.1f} s')
         if not left:
             return outcome.Outcome(
                 outcome.ExitCode.DONE,
-                {'version': version, 'nodes': total, 'seconds': elapsed_s},
-                f'version {version} is in force at {total} nodes',
+                {'version': version, 'nodes': done, 'seconds': elapsed_s},
+                f'version {version} is in force at {done} nodes',
             )
         if elapsed_s > timeout_s:
             return outcome.failure(
                 outcome.ExitCode.NOT_IN_FORCE,
                 f'version {version} is not confirmed by {len(left)} of '
-                f'{total} nodes',
-                nodes=[_unconfirmed(node, answers[node]) for node in left],
+                f'{len(listed)} nodes',
+                nodes=[
+                    _unconfirmed(node, answers.get(node, {}), seen)
+                    for node in left
+                ],
             )
         await asyncio.sleep(WAIT_PERIOD_S)
 
 
+async def _seen_versions(
+    client: client_module.OperatorClient,
+    entries: Iterable[api.HostRow],
+    left: Mapping[str, api.HostRow],
+) -> tuple[dict[str, int], Answers]:
+    """Return the table version by node, and the answers of the nodes."""
+    answers = await ask_all(client, entries)
+    seen = {
+        node: number
+        for answer in answers.values()
+        for node, number in answer.get('agent_table_versions', {}).items()
+    }
+    silent = [
+        row
+        for node, row in left.items()
+        if row.role != 'entry' and node not in seen
+    ]
+    answers.update(await ask_all(client, silent))
+    seen.update(
+        (node, _table_version(answer))
+        for node, answer in answers.items()
+        if 'versions' in answer
+    )
+    return seen, answers
+
+
 def _table_version(answer: Mapping[str, Any]) -> int:
     return answer.get('versions', {}).get(model.TABLE_DOCUMENT, 0)
 
 
-def _unconfirmed(node: str, answer: Mapping[str, Any]) -> str:
+def _unconfirmed(
+    node: str, answer: Mapping[str, Any], seen: Mapping[str, int]
+) -> str:
     return f'{node}: ' + answer.get(
-        'error', f'has version {_table_version(answer)}'
+        'error', f'has version {seen.get(node, 0)}'
     )
 
 
