--- a/src/wagtailhollow/internal/distribution/source.py
+++ b/src/wagtailhollow/internal/distribution/source.py
@@ -144,8 +144,10 @@
     An object that is not a table is logged and leaves the one in force.
     """
     rows = value.get('rows') if isinstance(value, Mapping) else None
-    if not isinstance(rows, Mapping):
-        logging.error('table version %d has no rows, ignored', version)
+    if not isinstance(rows, Mapping) or not all(
+        isinstance(row, Mapping) for row in rows.values()
+    ):
+        logging.error('table version %d has no valid rows, ignored', version)
         return False
     if not table.replace(version, rows):
         return False
--- a/src/wagtailhollow/internal/operators/reporting.py
+++ b/src/wagtailhollow/internal/operators/reporting.py
@@ -15,6 +15,7 @@
 from . import outcome
 
 WAIT_PERIOD_S = 0.25
+SHOWN_NAMES = 5
 
 Answers = Mapping[str, Mapping[str, Any]]
 
@@ -157,7 +158,10 @@
         }
         elapsed_s = time.monotonic() - started_s
         done = len(listed) - len(left)
-        progress(f'{done} of {len(listed)} nodes after {elapsed_s:.1f} s')
+        progress(
+            f'{done} of {len(listed)} nodes after {elapsed_s:.1f} s'
+            + _names(left)
+        )
         if not left:
             return outcome.Outcome(
                 outcome.ExitCode.DONE,
@@ -207,6 +211,13 @@
     return answer.get('versions', {}).get(model.TABLE_DOCUMENT, 0)
 
 
+def _names(left: Iterable[str]) -> str:
+    names = sorted(left)
+    more = ', ...' if len(names) > SHOWN_NAMES else ''
+    shown = ', '.join(names[:SHOWN_NAMES])
+    return f', waiting for {shown}{more}' if names else ''
+
+
 def _unconfirmed(
     node: str, answer: Mapping[str, Any], seen: Mapping[str, int]
 ) -> str:
--- a/src/wagtailhollow/internal/platform/http_store.py
+++ b/src/wagtailhollow/internal/platform/http_store.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import json
 import urllib.parse
 from collections.abc import AsyncIterator, Mapping
@@ -21,6 +22,8 @@
 DEFAULT_TIMEOUT_S = 2.0
 MAX_VALUE_BYTES = 1_000_000
 
+_HOST = frozenset(field.name for field in dataclasses.fields(api.HostRow))
+
 KEEP_ALIVE_S = 3.0
 """Below the usual 5 s of HTTP servers: a write sent on a connection that the
 server is closing has an unknown outcome and has to be settled."""
@@ -97,8 +100,11 @@
             if resp.status == 304:
                 return None
             document = await _json(resp)
-        hosts = tuple(api.HostRow(**row) for row in document['hosts'])
-        return api.HostList(document['revision'], hosts)
+        try:
+            hosts = tuple(map(_host, document['hosts']))
+            return api.HostList(document['revision'], hosts)
+        except (KeyError, TypeError, AttributeError) as exc:
+            raise _unreadable(exc) from exc
 
     async def close(self) -> None:
         """See :meth:`api.ObjectStore.close`."""
@@ -155,11 +161,23 @@
 
 
 def _object(row: Mapping[str, Any]) -> api.StoredObject:
-    return api.StoredObject(row['key'], row['version'], row['value'])
+    try:
+        return api.StoredObject(row['key'], row['version'], row['value'])
+    except (KeyError, TypeError) as exc:
+        raise _unreadable(exc) from exc
+
+
+def _host(row: Mapping[str, Any]) -> api.HostRow:
+    # A newer platform may have columns that this release does not know.
+    return api.HostRow(**{name: row[name] for name in row.keys() & _HOST})
+
+
+def _unreadable(exc: Exception) -> api.PlatformUnavailable:
+    return api.PlatformUnavailable(f'unreadable answer: {exc!r}')
 
 
 async def _json(resp: aiohttp.ClientResponse) -> Any:
     try:
         return json.loads(await resp.read())
     except ValueError as exc:
-        raise api.PlatformUnavailable(f'unreadable answer: {exc}') from exc
+        raise _unreadable(exc) from exc
--- a/tests/cover/test_distribution.py
+++ b/tests/cover/test_distribution.py
@@ -9,7 +9,12 @@
 from hypothesis import strategies as st
 
 from wagtailhollow import errors
-from wagtailhollow.internal.distribution import document, overrides, start
+from wagtailhollow.internal.distribution import (
+    document,
+    overrides,
+    source,
+    start,
+)
 from wagtailhollow.internal.membership import relays, rendezvous, subset
 from wagtailhollow.internal.platform import api
 from wagtailhollow.internal.wire import auth
@@ -208,6 +213,17 @@
     assert not confirmed
 
 
+@pytest.mark.parametrize(
+    'value', [None, [], {}, {'rows': 3}, {'rows': {'target/t': 'x'}}]
+)
+def test_object_that_is_no_table_leaves_the_one_in_force(value):
+    """Guards against a node that fails on what somebody else wrote."""
+    table = document.VersionedDocument('table')
+    table.replace(3, {'target/t': {}})
+    assert not source.take_table(table, 4, value)
+    assert (table.version, table.rows) == (3, {'target/t': {}})
+
+
 def direct_withdrawals(version=5):
     table = document.VersionedDocument('table')
     table.replace(version, {'data_centre/dc-a': {'weight': 2}})
