--- a/tests/prove/operating.py
+++ b/tests/prove/operating.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import contextlib
+import itertools
 import json
 import os
 import re
@@ -183,8 +184,10 @@
 
     async def _call(self, url, number):
         client = caller.Caller(self._session, timeout_s=5.0)
-        while True:
-            document = caller.chat_request(f'plank {number}', 4)
+        for count in itertools.count():
+            # Each prompt is new: with few prompts, prefix affinity may keep
+            # all of them away from the data centre under test.
+            document = caller.chat_request(f'{count} planks for {number}', 4)
             answer = await client.chat(url, document)
             self.answers[answer.error or 'whole'] += 1
             await asyncio.sleep(0.02)
