Admit a first call when entries outnumber the free places

Cause: the places of a service were divided by the number of entries and rounded down. With two cold targets (cap 2 each) and 6 entries each share was 0, so no call was ever admitted and the caps never grew. Ruled out: the prompts of the callers (a change of prompts did not help) and the distribution of the table (all nodes had it). Now an entry may have one call outstanding while there is a free place; the agents refuse what is too much.

--- a/src/wagtailhollow/internal/entry/admission.py
+++ b/src/wagtailhollow/internal/entry/admission.py
@@ -81,7 +81,11 @@
             return None
         entries = max(1, self._entry_count())
         below_share = min(free, max(0, caps // entries - own))
-        return own + below_share + (free - below_share) // entries
+        limit = own + below_share + (free - below_share) // entries
+        # With fewer free places than entries, as when all targets are cold,
+        # every share rounds to 0 and no target would ever get its first call.
+        # The agents refuse what is too much.
+        return max(limit, min(free, 1))
 
     def _is_open(
         self, service_name: str, data_centre: str, target: str
--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -206,3 +206,11 @@
         queue.enter(name)
         order.append(name)
     assert order[:4].count('b') == 3
+
+
+def test_cold_target_gets_a_first_call_though_entries_outnumber_its_places():
+    """Guards against shares that round to 0: nothing would ever start."""
+    bench = Bench(cap=2, entries=6)
+    assert bench.capacity.limit('reports') == 1
+    bench.report(cap=2, running=2)
+    assert bench.capacity.limit('reports') == 0
