--- a/src/wagtailhollow/internal/limits/owner.py
+++ b/src/wagtailhollow/internal/limits/owner.py
@@ -35,6 +35,10 @@
 GRANT_WAIT_S = 0.7
 """Shorter than an entry waits for the owner; the entry gets a reason."""
 
+EXHAUSTED_KEPT_S = 1.0
+"""Time between two reads for calls that an exhausted budget refuses; without
+it, refused calls alone would make a read each."""
+
 MAX_CONFLICTS = 8
 MAX_PENDING = 64
 IDLE_GIVE_BACK_S = 2.0
@@ -70,6 +74,8 @@
         self.wanted = 0
         self.top_up: asyncio.Task[None] | None = None
         self.is_unavailable = False
+        self.exhausted_need = 0
+        self.exhausted_until_s = now_s
         self.is_warned = False
         self.used_s = now_s
 
@@ -246,7 +252,10 @@
             return '', 0
         budget = self._budget(message.organisation)
         budget.used_s = self._context.clock()
-        if budget.held < need:
+        is_exhausted = need >= budget.exhausted_need and (
+            self._context.clock() < budget.exhausted_until_s
+        )
+        if budget.held < need and not is_exhausted:
             await self._wait_for_tokens(budget, need)
         if budget.held < need:
             raise self._refusal(budget, need)
@@ -314,9 +323,13 @@
         amount = min(left, max(wanted, chunk))
         if amount < short or amount <= 0:
             # Refused only after a read: another owner may have given back.
-            if base.version == api.ABSENT:
-                return True
-            return await self._is_current(budget)
+            if base.version != api.ABSENT and not (
+                await self._is_current(budget)
+            ):
+                return False
+            budget.exhausted_need = need
+            budget.exhausted_until_s = self._context.clock() + EXHAUSTED_KEPT_S
+            return True
         nonce = record.new_nonce()
         budget.expect(nonce, amount)
         try:
