Renew slots while the platform does not answer

Periodic work was one task: giving a chunk back waited for the platform and the slots of running calls ended meanwhile, so max_concurrent could be exceeded in an outage. The new test admitted a fourth call of three with the single task and refuses it now. Renewals run at the same time for all organisations, and closing gives back for at most 5 s.

The owner noticed its live view at the first grant only, so the lower share after a change of owners began then instead of at the change; it is noticed with the periodic work now.

--- a/src/wagtailhollow/internal/limits/blocks.py
+++ b/src/wagtailhollow/internal/limits/blocks.py
@@ -5,6 +5,9 @@
 import asyncio
 import contextlib
 import dataclasses
+from collections.abc import Awaitable, Callable
+
+from absl import logging
 
 from ... import errors
 from ..membership import rendezvous
@@ -105,12 +108,37 @@
         return _Held(block, tokens, block.day)
 
     async def run(self) -> None:
-        """Renew slots, return unused blocks, give back unowned chunks."""
+        """Renew slots, return unused blocks, give back unowned chunks.
+
+        Two tasks: a platform that does not answer must not delay the renewal
+        of slots, which needs the other entries only.
+        """
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._repeat(self._tend_all))
+            group.create_task(
+                self._repeat(
+                    lambda: self.owner.give_back_unowned(self.owner_of)
+                )
+            )
+
+    async def _repeat(self, work: Callable[[], Awaitable[None]]) -> None:
         while True:
             await asyncio.sleep(PERIOD_S)
-            for organisation, block in list(self._blocks.items()):
-                await self._tend(organisation, block)
-            await self.owner.give_back_unowned(self.owner_of)
+            try:
+                await work()
+            except Exception:
+                logging.exception('periodic work on limits failed')
+
+    async def _tend_all(self) -> None:
+        self.owner.notice_view()
+        # At the same time: one owner that does not answer holds up its own
+        # organisations only.
+        await asyncio.gather(
+            *(
+                self._tend(organisation, block)
+                for organisation, block in self._blocks.items()
+            )
+        )
 
     async def close(self) -> None:
         """Return all blocks and chunks."""
--- a/src/wagtailhollow/internal/limits/owner.py
+++ b/src/wagtailhollow/internal/limits/owner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import datetime
 
@@ -42,6 +43,7 @@
 MAX_CONFLICTS = 8
 MAX_PENDING = 64
 IDLE_GIVE_BACK_S = 2.0
+CLOSE_TIMEOUT_S = 5.0
 KEEP_DAYS = 2
 WARNING_SHARE = 0.8
 
@@ -120,7 +122,7 @@
                 errors.ErrorKind.FORBIDDEN,
                 f'no organisation is named {message.organisation!r}',
             )
-        self._notice_view()
+        self.notice_view()
         slots = self._grant_slots(message, row)
         requests = self._grant_requests(message, row)
         try:
@@ -167,16 +169,19 @@
 
     async def close(self) -> None:
         """Give all chunks back; what fails stays counted as spent."""
-        for budget in list(self._budgets.values()):
-            if budget.held:
-                await self._give_back(budget)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                for budget in list(self._budgets.values()):
+                    if budget.held:
+                        await self._give_back(budget)
 
     def held(self, organisation: str) -> int:
         """Return the tokens held for *organisation* and not in blocks."""
         budget = self._budgets.get(organisation)
         return budget.held if budget else 0
 
-    def _notice_view(self) -> None:
+    def notice_view(self) -> None:
+        """Note a change of the live entries, which may change owners."""
         view = tuple(sorted(self._context.peers.live()))
         if view != self._view:
             self._view = view
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -58,6 +58,7 @@
         self._delay_s = delay_s
         self._rng = random.Random(seed)
         self.is_down = False
+        self.hangs_s = 0.0
         self.lose_answers = 0
         self.repeat_lost_writes = False
         self.calls = 0
@@ -104,6 +105,7 @@
     async def _call(self) -> None:
         self.calls += 1
         await self._delay()
+        await asyncio.sleep(self.hangs_s)
         if self.is_down:
             raise api.PlatformUnavailable('down')
 
--- a/tests/cover/test_limits.py
+++ b/tests/cover/test_limits.py
@@ -14,6 +14,7 @@
 from wagtailhollow import errors
 from wagtailhollow.internal.limits import method
 from wagtailhollow.internal.table import model
+from wagtailhollow.internal.wire.gen import ttypes
 
 NAMES = ('entry-a', 'entry-b', 'entry-c')
 
@@ -253,3 +254,37 @@
     (reserved, held), after, still_held = memory_platform.run_fast(scenario)
     assert held > 0
     assert (after, still_held) == (reserved - held, 0)
+
+
+def test_slots_are_renewed_while_the_platform_does_not_answer():
+    """Guards against concurrency that needs the platform after all."""
+
+    async def scenario():
+        net = network(
+            model.Organisation(tokens_per_day=10_000, max_concurrent=3)
+        )
+        net.start()
+        first = net.entries['entry-a'].owner_of('council')
+        name, other = [item for item in NAMES if item != first]
+        entry = net.entries[name]
+        tending = [
+            asyncio.create_task(item.run()) for item in net.entries.values()
+        ]
+        await asyncio.sleep(7.0)
+        for _ in range(3):
+            await entry.reserve('council', 10)
+        # A chunk whose owner is another entry, which it tries to give back.
+        message = ttypes.BlockReturn('council', '2026-01-01', 0, 500)
+        entry.owner.take_back(message)
+        assert entry.owner.held('council') == 500
+        net.store.hangs_s = 60.0
+        await asyncio.sleep(20.0)
+        got = await memory_platform.try_call(net.entries[other], 'council', 0)
+        for task in tending:
+            task.cancel()
+        await asyncio.gather(*tending, return_exceptions=True)
+        return got
+
+    got = memory_platform.run_fast(scenario)
+    assert isinstance(got, errors.Refusal)
+    assert got.kind is errors.ErrorKind.LIMIT_EXCEEDED
