--- a/src/wagtailhollow/internal/limits/owner.py
+++ b/src/wagtailhollow/internal/limits/owner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import datetime
 
@@ -35,9 +36,14 @@
 GRANT_WAIT_S = 0.7
 """Shorter than an entry waits for the owner; the entry gets a reason."""
 
+EXHAUSTED_KEPT_S = 1.0
+"""Time between two reads for calls that an exhausted budget refuses; without
+it, refused calls alone would make a read each."""
+
 MAX_CONFLICTS = 8
 MAX_PENDING = 64
 IDLE_GIVE_BACK_S = 2.0
+CLOSE_TIMEOUT_S = 5.0
 KEEP_DAYS = 2
 WARNING_SHARE = 0.8
 
@@ -70,6 +76,8 @@
         self.wanted = 0
         self.top_up: asyncio.Task[None] | None = None
         self.is_unavailable = False
+        self.exhausted_need = 0
+        self.exhausted_until_s = now_s
         self.is_warned = False
         self.used_s = now_s
 
@@ -114,7 +122,7 @@
                 errors.ErrorKind.FORBIDDEN,
                 f'no organisation is named {message.organisation!r}',
             )
-        self._notice_view()
+        self.notice_view()
         slots = self._grant_slots(message, row)
         requests = self._grant_requests(message, row)
         try:
@@ -161,16 +169,19 @@
 
     async def close(self) -> None:
         """Give all chunks back; what fails stays counted as spent."""
-        for budget in list(self._budgets.values()):
-            if budget.held:
-                await self._give_back(budget)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                for budget in list(self._budgets.values()):
+                    if budget.held:
+                        await self._give_back(budget)
 
     def held(self, organisation: str) -> int:
         """Return the tokens held for *organisation* and not in blocks."""
         budget = self._budgets.get(organisation)
         return budget.held if budget else 0
 
-    def _notice_view(self) -> None:
+    def notice_view(self) -> None:
+        """Note a change of the live entries, which may change owners."""
         view = tuple(sorted(self._context.peers.live()))
         if view != self._view:
             self._view = view
@@ -246,7 +257,10 @@
             return '', 0
         budget = self._budget(message.organisation)
         budget.used_s = self._context.clock()
-        if budget.held < need:
+        is_exhausted = need >= budget.exhausted_need and (
+            self._context.clock() < budget.exhausted_until_s
+        )
+        if budget.held < need and not is_exhausted:
             await self._wait_for_tokens(budget, need)
         if budget.held < need:
             raise self._refusal(budget, need)
@@ -314,9 +328,13 @@
         amount = min(left, max(wanted, chunk))
         if amount < short or amount <= 0:
             # Refused only after a read: another owner may have given back.
-            if base.version == api.ABSENT:
-                return True
-            return await self._is_current(budget)
+            if base.version != api.ABSENT and not (
+                await self._is_current(budget)
+            ):
+                return False
+            budget.exhausted_need = need
+            budget.exhausted_until_s = self._context.clock() + EXHAUSTED_KEPT_S
+            return True
         nonce = record.new_nonce()
         budget.expect(nonce, amount)
         try:
