--- a/tests/cover/test_http_edge.py
+++ b/tests/cover/test_http_edge.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import types
 
 import pytest
 from hypothesis import given, settings
@@ -12,7 +14,7 @@
 from standins import deployment
 from wagtailhollow import errors
 from wagtailhollow.internal.daemon import http
-from wagtailhollow.internal.entry import admission, app, http_protocol
+from wagtailhollow.internal.entry import app, http_protocol
 from wagtailhollow.internal.settings import schema
 from wagtailhollow.internal.table import model, queries
 
@@ -43,6 +45,14 @@
         await sink.finish()
 
 
+class OpenAdmission:
+    """Admits every call."""
+
+    @contextlib.asynccontextmanager
+    async def admit(self, call):
+        yield types.SimpleNamespace()
+
+
 def caller_app(handler):
     rows = {
         'organisation/council': deployment.organisation_row('council', {}),
@@ -54,7 +64,7 @@
         'e', 'dc', 'd', '127.0.0.1:1', '127.0.0.1:2', 'http://x', 'k',
         request_limits=LIMITS,
     )  # fmt: skip
-    return app.CallerApp(cfg, handler, admission.OpenAdmission(), lambda: view)
+    return app.CallerApp(cfg, handler, OpenAdmission(), lambda: view)
 
 
 def serve(scenario, handler=None):
