Charge a refused call of which an attempt may have run

Cause: admission took the kind of the last refusal as proof that no token was produced, although an earlier attempt of the call may have run.

--- a/src/wagtailhollow/internal/entry/admission.py
+++ b/src/wagtailhollow/internal/entry/admission.py
@@ -208,7 +208,9 @@
                 service.ended()
                 self._serve(service)
         except errors.Refusal as exc:
-            if exc.answer.execution is errors.Execution.NOT_RUN:
+            # The kind speaks of the last attempt; an earlier one may have run.
+            is_certain = not call.execution.may_have_run
+            if is_certain and exc.answer.execution is errors.Execution.NOT_RUN:
                 used = 0
             raise
         finally:
