--- a/tests/cover/test_http_edge.py
+++ b/tests/cover/test_http_edge.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import types
 
 import pytest
 from hypothesis import given, settings
@@ -13,7 +14,7 @@
 from standins import deployment
 from wagtailhollow import errors
 from wagtailhollow.internal.daemon import http
-from wagtailhollow.internal.entry import admission, app, http_protocol
+from wagtailhollow.internal.entry import app, http_protocol
 from wagtailhollow.internal.settings import schema
 from wagtailhollow.internal.table import model, queries
 
@@ -49,7 +50,7 @@
 
     @contextlib.asynccontextmanager
     async def admit(self, call):
-        yield admission.Admitted(call.tokens)
+        yield types.SimpleNamespace()
 
 
 def caller_app(handler):
