Count a saving only for as long as the load is expected to last

The horizon is now the time since the load last drifted by 5%, 10 to 120 s, and after 15 s without drift the search tries 24 ranks when 8 do not help. Options of one search are bounded. Planning is timed in CPU time, as the cases run beside each other.

--- a/measure/rebalancing.py
+++ b/measure/rebalancing.py
@@ -4,7 +4,8 @@
 and writes ``build/measure-rebalancing.json``. The loads are generated, with
 lagging counts and gaps, once for each case and seed; every planner gets the
 same ones. One tick is one observation period of 1 s. "Settled" ticks are
-those from :data:`SETTLE_TICKS` after the load has stopped drifting.
+those from :data:`SETTLE_TICKS` after the load has stopped drifting. Planning
+times are CPU times, since the cases run beside each other.
 """
 
 from __future__ import annotations
@@ -190,9 +191,9 @@
             for rank, column in enumerate(zip(*loads, strict=True))
         ]
         seen = observation.Observation(tick.counts, seconds)
-        started = time.perf_counter()
+        started = time.process_time()
         plan = chosen.plan(current, seen, number * TICK_S)
-        plan_ms.append((time.perf_counter() - started) * 1000 / case.layers)
+        plan_ms.append((time.process_time() - started) * 1000 / case.layers)
         found = plan.slow_ranks
         if plan.moves:
             moves += plan.moves
--- a/src/wagtailhollow/internal/experts/observation.py
+++ b/src/wagtailhollow/internal/experts/observation.py
@@ -17,6 +17,9 @@
 JUMP_DISTANCE = 0.2
 """Total variation distance from which a change counts as sudden."""
 
+DRIFT_DISTANCE = 0.05
+"""Total variation distance from which a load counts as another one."""
+
 SLOW_RATIO = 1.2
 """Time for each token over that of the median rank."""
 
@@ -41,8 +44,10 @@
 
     def __init__(self) -> None:
         self._layers: dict[int, list[float]] = {}
+        self._reference: dict[int, list[float]] = {}
+        self._since_s: dict[int, float] = {}
 
-    def update(self, observation: Observation) -> None:
+    def update(self, observation: Observation, now_s: float) -> None:
         """Take in one observation; gaps leave the estimate as it is."""
         for index, counts in enumerate(observation.layers):
             if counts is None or not sum(counts):
@@ -58,6 +63,22 @@
                     for before, now in zip(old, new, strict=True)
                 ]
 
+            reference = self._reference.get(index)
+            new = self._layers[index]
+            if reference is None or _distance(reference, new) > DRIFT_DISTANCE:
+                self._reference[index] = new
+                self._since_s[index] = now_s
+
+    def stable_s(self, now_s: float) -> float:
+        """Return for how long the load has not drifted, mean of the layers.
+
+        A load is expected to last as long again, as a saving does.
+        """
+        if not self._since_s:
+            return 0.0
+        ages = [now_s - since_s for since_s in self._since_s.values()]
+        return sum(ages) / len(ages)
+
     def layer(self, index: int) -> list[float] | None:
         """Return the share of each expert, None if not observed yet."""
         return self._layers.get(index)
--- a/src/wagtailhollow/internal/experts/planner.py
+++ b/src/wagtailhollow/internal/experts/planner.py
@@ -17,12 +17,19 @@
 MAX_STEPS = 64
 """Steps for a layer in one plan; bounds the planning time."""
 
+MIN_HORIZON_S = 10.0
+"""Time over which a saving is counted while the load drifts."""
+
+THOROUGH_AFTER_S = 15.0
+"""Time without drift after which the search tries more changes."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Costs:
     """What a change of the map costs, in seconds of the group's time.
 
-    :ivar horizon_s: time over which a saving is counted.
+    :ivar horizon_s: longest time over which a saving is counted; shorter
+        while the load drifts, as it does not last then.
     :ivar pause_s: time for which a switch stops the group.
     :ivar move_s: slow-down of the group by loading one expert's weights.
     :ivar weights_per_s: expert weights a second from the weight store.
@@ -110,7 +117,7 @@
         now_s: float,
     ) -> Plan:
         """See :meth:`Planner.plan`."""
-        self._estimate.update(seen)
+        self._estimate.update(seen, now_s)
         if now_s < self._next_s:
             return Plan(current, 0)
         self._next_s = now_s + self.PERIOD_S
@@ -142,7 +149,8 @@
         now_s: float,
     ) -> Plan:
         """See :meth:`Planner.plan`."""
-        self._estimate.update(seen)
+        self._estimate.update(seen, now_s)
+        stable_s = self._estimate.stable_s(now_s)
         by_layer = []
         skews = []
         loads = [0.0] * len(current.layers[0].slots)
@@ -154,9 +162,13 @@
             state = search.LayerSearch(layer, tokens, self._costs.spare_slots)
             loads = [a + b for a, b in zip(loads, state.loads, strict=True)]
             skews.append(state.skew())
-            by_layer.append(self._steps(state, tokens))
+            by_layer.append(self._steps(state, tokens, stable_s))
         slow = self._slow.update(loads, seen.rank_seconds)
-        chosen = self._choose(by_layer, skews)
+        horizon_s = min(
+            self._costs.horizon_s,
+            max(MIN_HORIZON_S, stable_s),
+        )
+        chosen = self._choose(by_layer, skews, horizon_s)
         if not any(chosen):
             return Plan(current, 0, slow)
         new = placement.Placement(
@@ -168,12 +180,18 @@
         return Plan(new, placement.moves_between(current, new), slow)
 
     def _steps(
-        self, state: search.LayerSearch, tokens: list[float]
+        self,
+        state: search.LayerSearch,
+        tokens: list[float],
+        stable_s: float,
     ) -> list[search.Step]:
         raise NotImplementedError
 
     def _choose(
-        self, by_layer: list[list[search.Step]], skews: list[float]
+        self,
+        by_layer: list[list[search.Step]],
+        skews: list[float],
+        horizon_s: float,
     ) -> list[list[search.Step]]:
         raise NotImplementedError
 
@@ -183,12 +201,18 @@
     """Takes each improvement at once, whatever it costs."""
 
     def _steps(
-        self, state: search.LayerSearch, tokens: list[float]
+        self,
+        state: search.LayerSearch,
+        tokens: list[float],
+        stable_s: float,
     ) -> list[search.Step]:
-        return state.improve(1.0, 1e-4, MAX_STEPS)
+        return state.improve(1.0, 1e-4, MAX_STEPS, False)
 
     def _choose(
-        self, by_layer: list[list[search.Step]], skews: list[float]
+        self,
+        by_layer: list[list[search.Step]],
+        skews: list[float],
+        horizon_s: float,
     ) -> list[list[search.Step]]:
         return by_layer
 
@@ -204,9 +228,13 @@
 
     TRIGGER = 1.07
     GOAL = 1.035
+    MIN_GAIN = 1e-3
 
     def _steps(
-        self, state: search.LayerSearch, tokens: list[float]
+        self,
+        state: search.LayerSearch,
+        tokens: list[float],
+        stable_s: float,
     ) -> list[search.Step]:
         ranks, slots = len(state.rows), len(state.rows[0])
         skew = state.skew()
@@ -215,10 +243,18 @@
         bound = placement.skew_bound(tokens, ranks, slots)
         if skew <= self.TRIGGER * bound:
             return []
-        return state.improve(self.GOAL * bound, 1e-3, MAX_STEPS)
+        return state.improve(
+            self.GOAL * bound,
+            self.MIN_GAIN,
+            MAX_STEPS,
+            stable_s >= THOROUGH_AFTER_S,
+        )
 
     def _choose(
-        self, by_layer: list[list[search.Step]], skews: list[float]
+        self,
+        by_layer: list[list[search.Step]],
+        skews: list[float],
+        horizon_s: float,
     ) -> list[list[search.Step]]:
         """Take the best steps under the store's rate; all or none."""
         costs = self._costs
@@ -247,7 +283,7 @@
                 value = _value(by_layer[index], position)
                 heapq.heappush(heap, (-value, index, position))
         # The saving starts when the staging ends.
-        active_s = costs.horizon_s - moves / costs.weights_per_s
+        active_s = horizon_s - moves / costs.weights_per_s
         saved_s = gain / len(by_layer) / mean_skew * active_s
         if saved_s <= costs.pause_s + moves * costs.move_s:
             return [[] for _ in by_layer]
--- a/src/wagtailhollow/internal/experts/search.py
+++ b/src/wagtailhollow/internal/experts/search.py
@@ -11,10 +11,21 @@
 LIGHT_RANKS = 8
 """Ranks tried as the other end of a change, lightest first."""
 
+THOROUGH_LIGHT_RANKS = 24
+"""The same for a step for which the first finds nothing.
+
+With two slots a rank the partner that fits is often not among the lightest.
+It is worth the further weights only for a load that lasts.
+"""
+
 HOT_SLOTS = 6
 """Slots of the fullest rank that are tried, largest share first."""
 
 
+MAX_OPTIONS = 12_000
+"""Changes weighed in one search, which bounds its time (2 us each)."""
+
+
 @dataclasses.dataclass(frozen=True)
 class SlotChange:
     """Load the weights of *expert* into a slot."""
@@ -59,20 +70,28 @@
         self.loads = layer.rank_loads(tokens)
         self.mean = sum(self.loads) / len(self.loads) or 1.0
         self._spare = [spare_slots] * len(self.rows)
+        self._options = 0
 
     def skew(self) -> float:
         """Return the skew of the present state."""
         return max(self.loads) / self.mean
 
     def improve(
-        self, goal: float, min_gain: float, max_steps: int
+        self, goal: float, min_gain: float, max_steps: int, thorough: bool
     ) -> list[Step]:
-        """Apply and return the steps that bring the skew down to *goal*."""
+        """Apply and return the steps that bring the skew down to *goal*.
+
+        :param min_gain: least gain for each weight, as a share of the mean.
+        :param thorough: whether to try more ranks when a few do not help.
+        """
+        widths = (LIGHT_RANKS, THOROUGH_LIGHT_RANKS)[: 1 + thorough]
         steps = []
         before = self.skew()
         while before > goal and len(steps) < max_steps:
             hot = self.loads.index(max(self.loads))
-            found = self._best(hot, min_gain * self.mean)
+            found = None
+            for width in widths:
+                found = found or self._best(hot, min_gain * self.mean, width)
             if found is None:
                 break
             self._apply(found)
@@ -87,7 +106,7 @@
         return self._tokens[expert] / (len(self._holders[expert]) + extra)
 
     def _best(
-        self, hot: int, min_gain: float
+        self, hot: int, min_gain: float, width: int
     ) -> tuple[SlotChange, ...] | None:
         row = self.rows[hot]
         slots = sorted(
@@ -95,7 +114,7 @@
             key=lambda slot: -self._share(row[slot]),
         )[:HOT_SLOTS]
         light = heapq.nsmallest(
-            LIGHT_RANKS,
+            width,
             (
                 rank
                 for rank in range(len(self.rows))
@@ -108,6 +127,9 @@
             for rank in light:
                 if row[slot] in self.rows[rank]:
                     continue
+                self._options += 2 * len(self.rows[rank])
+                if self._options > MAX_OPTIONS:
+                    return None
                 for other in range(len(self.rows[rank])):
                     gain = self._replica_gain(hot, slot, rank, other)
                     if gain > best_value:
--- a/tests/cover/test_planner.py
+++ b/tests/cover/test_planner.py
@@ -52,11 +52,21 @@
 def test_gaps_in_the_counts_keep_the_estimate():
     # Guards against reading a gap as an absence of load.
     estimate = observation.LoadEstimate()
-    estimate.update(observed([3.0, 1.0]))
-    estimate.update(observed(None))
+    estimate.update(observed([3.0, 1.0]), 0.0)
+    estimate.update(observed(None), 1.0)
     assert estimate.layer(0) == [0.75, 0.25]
 
 
+def test_load_counts_as_lasting_from_its_last_drift():
+    # Guards against paying for moves whose saving does not last.
+    estimate = observation.LoadEstimate()
+    estimate.update(observed([1.0, 1.0]), 0.0)
+    estimate.update(observed([1.01, 1.0]), 30.0)
+    assert estimate.stable_s(30.0) == 30.0
+    estimate.update(observed([3.0, 1.0]), 31.0)
+    assert estimate.stable_s(33.0) == 2.0
+
+
 def test_slow_rank_is_reported_and_not_rebalanced():
     # Guards against moving experts away from a rank that is slow for
     # reasons which their load does not explain.
