Keep the planning of an agent from blocking or ending its other work

Cause: review of the whole path. The planner ran in the event loop, 40 ms a layer at 256 ranks, while the agent relays streams; an unexpected map object ended the leader's task without a trace; an unknown planner name or a group beside a plain service failed with a traceback at the start.

The planner runs in a thread, tasks log their failure, and the planner's name is validated with the settings.

--- a/src/wagtailhollow/internal/agent/compose.py
+++ b/src/wagtailhollow/internal/agent/compose.py
@@ -148,7 +148,8 @@
         self, identity: auth.Identity
     ) -> expert_group.ExpertGroup | None:
         cfg = self._cfg
-        if cfg.group is None or cfg.rank is None:
+        is_rank = cfg.group is not None and cfg.rank is not None
+        if not is_rank or cfg.backend.kind != 'model_engine':
             return None
         peers = pool.PeerPool(
             identity,
--- a/src/wagtailhollow/internal/experts/group.py
+++ b/src/wagtailhollow/internal/experts/group.py
@@ -13,6 +13,7 @@
 from absl import logging
 
 from ... import errors
+from ..daemon import lifecycle
 from ..distribution import document
 from ..platform import api, settled_put
 from ..settings import schema
@@ -90,10 +91,10 @@
     def start(self) -> None:
         """Start all tasks."""
         self._tasks = [
-            asyncio.create_task(self._peers.fetch_hosts(self._store)),
-            asyncio.create_task(self._resolve()),
-            asyncio.create_task(self._lease.run()),
-            asyncio.create_task(self._leader.run()),
+            lifecycle.background(self._peers.fetch_hosts(self._store)),
+            lifecycle.background(self._resolve()),
+            lifecycle.background(self._lease.run()),
+            lifecycle.background(self._leader.run()),
         ]
 
     async def stop(self) -> None:
@@ -183,6 +184,10 @@
                 engine.EngineRefused,
             ) as exc:
                 logging.warning('map of %s stays: %r', self._group, exc)
+            except (KeyError, TypeError, ValueError):
+                # A map object or counters of another shape than expected
+                # must not end the planning for good.
+                logging.exception('map of %s stays', self._group)
 
     async def _plan_once(self) -> None:
         stored = await self._stored_map()
@@ -199,7 +204,11 @@
             tuple(layers) if layers is not None else gaps, seconds
         )
         now_s = asyncio.get_running_loop().time()
-        plan = self._planner.plan(current, seen, now_s)
+        # Tens of milliseconds a layer, in which the agent has to go on
+        # relaying the streams of its target.
+        plan = await asyncio.to_thread(
+            self._planner.plan, current, seen, now_s
+        )
         if plan.slow_ranks:
             logging.warning(
                 'ranks of %s slow for their load: %s',
--- a/src/wagtailhollow/internal/settings/schema.py
+++ b/src/wagtailhollow/internal/settings/schema.py
@@ -9,6 +9,7 @@
 _ADDRESS = 'host:port with a numeric port'
 _URL = 'an http:// or https:// URL'
 _NAME = 'a name of 1 to 64 of A-Z, a-z, 0-9, dot, dash and underscore'
+_PLANNERS = ('few_moves', 'full_resolve', 'greedy', 'never')
 _LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
 
@@ -154,7 +155,11 @@
 class ExpertSettings:
     """Planning of the expert maps, used by the agent that leads a group."""
 
-    planner: str = loader.setting('few_moves', allowed='a planner name')
+    planner: str = loader.setting(
+        'few_moves',
+        allowed='one of ' + ', '.join(_PLANNERS),
+        check=lambda value: value in _PLANNERS,
+    )
     plan_period_s: float = _seconds(60.0, 0.1, 86_400.0)
     weights_per_s: float = loader.setting(
         100.0,
--- a/tests/cover/test_planner.py
+++ b/tests/cover/test_planner.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from measure import rebalancing
 from wagtailhollow.internal.experts import observation, placement, planner
+from wagtailhollow.internal.settings import schema
 
 
 def observed(tokens, ranks=8, seconds=1.0):
@@ -49,6 +52,17 @@
     assert moves[0] == 0 < moves[1]
 
 
+def test_settings_allow_exactly_the_registered_planners():
+    # Guards against a planner that settings name and the registry does not.
+    (field,) = (
+        field
+        for field in dataclasses.fields(schema.ExpertSettings)
+        if field.name == 'planner'
+    )
+    names = field.metadata['allowed'].removeprefix('one of ').split(', ')
+    assert names == sorted(planner.PLANNERS)
+
+
 def test_gaps_in_the_counts_keep_the_estimate():
     # Guards against reading a gap as an absence of load.
     estimate = observation.LoadEstimate()
