--- a/src/wagtailhollow/internal/experts/planner.py
+++ b/src/wagtailhollow/internal/experts/planner.py
@@ -228,7 +228,7 @@
 
     TRIGGER = 1.07
     GOAL = 1.035
-    MIN_GAIN = 1e-3
+    MIN_GAIN = 2e-3
 
     def _steps(
         self,
--- a/src/wagtailhollow/internal/experts/search.py
+++ b/src/wagtailhollow/internal/experts/search.py
@@ -11,7 +11,7 @@
 LIGHT_RANKS = 8
 """Ranks tried as the other end of a change, lightest first."""
 
-THOROUGH_LIGHT_RANKS = 24
+THOROUGH_LIGHT_RANKS = 40
 """The same for a step for which the first finds nothing.
 
 With two slots a rank the partner that fits is often not among the lightest.
