--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,12 @@
 
 .PHONY: setup demo test prove bench measure lint format cover nocover thrift clean
 
+# A virtual environment given on the command line is used as it is.
+ifeq ($(origin VENV),command line)
+setup:
+else
 setup: $(VENV)/.ready
+endif
 
 $(VENV)/.ready: pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
