Bound retries of busy entries, wait for lost connections, compare retry policies

Cause: measure.retries showed 1.103 attempts for each offered call at twice the capacity (target 1.1), because the floor for idle entries came on top of the ratio. test_whole_answers failed 2 of 6 runs with no_target: under frame faults all connections of an entry can be lost at the same moment.

Now the first attempts of a busy entry use up the floor, and a call waits up to max_wait_s while no target of its service is connected.

--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -58,7 +58,7 @@
         self._claimed = claimed
         self._max_wait_s = max_wait_s
         self._policies: dict[str, policy.RoutingPolicy] = {}
-        self._budgets: dict[str, budget.RetryBudget] = {}
+        self._budgets: dict[str, budget.RetryPolicy] = {}
 
     async def handle(
         self, call: call_module.Call, sink: call_module.AnswerSink
@@ -81,6 +81,7 @@
         :raises Refusal: NO_TARGET if none is in service, OVERLOADED if all
             were tried.
         """
+        await self._wait_for_reports(call)
         candidates = self.candidates(call)
         untried = [item for item in candidates if item.target not in tried]
         if not untried:
@@ -97,6 +98,24 @@
         with_room = [item for item in untried if item.load < 1]
         return self._policy(call).choose(with_room or untried, call.prefix)
 
+    async def _wait_for_reports(self, call: call_module.Call) -> None:
+        """Wait while no target of the service is connected.
+
+        All connections may be lost at the same moment; new ones take a
+        fraction of a second, and a refusal would send the caller away for
+        longer.
+        """
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + min(self._max_wait_s, call.remaining_s())
+        while not self._is_connected(call) and loop.time() < until_s:
+            await asyncio.sleep(FULL_PAUSE_S)
+
+    def _is_connected(self, call: call_module.Call) -> bool:
+        return any(
+            report.load.service_name == call.service_name
+            for report in self._view.fresh_reports()
+        )
+
     def candidates(self, call: call_module.Call) -> list[policy.Candidate]:
         """Return the targets that may take the call, by what is known."""
         table = self._table_view()
@@ -136,10 +155,11 @@
         """Run one attempt; see :meth:`attempts.AttemptRunner.run`."""
         await self._runner.run(attempt, sink)
 
-    def retry_budget(self, service_name: str) -> budget.RetryBudget:
+    def retry_budget(self, service_name: str) -> budget.RetryPolicy:
         """Return the retry budget of a service at this entry."""
         if service_name not in self._budgets:
-            self._budgets[service_name] = budget.RetryBudget()
+            policy_class = budget.RETRY_POLICIES[budget.DEFAULT_POLICY]
+            self._budgets[service_name] = policy_class()
         return self._budgets[service_name]
 
     @property
--- a/src/wagtailhollow/internal/retries/budget.py
+++ b/src/wagtailhollow/internal/retries/budget.py
@@ -8,6 +8,7 @@
 
 import time
 from collections.abc import Callable
+from typing import Protocol
 
 RETRY_RATIO = 0.1
 """Retries allowed for each first attempt; the load on the targets stays under
@@ -19,6 +20,31 @@
 MAX_SAVED_RETRIES = 20.0
 
 
+RETRY_POLICIES: dict[str, Callable[..., RetryPolicy]] = {}
+DEFAULT_POLICY = 'budget'
+
+
+class RetryPolicy(Protocol):
+    """Decides whether an attempt may be repeated."""
+
+    def first_attempt(self) -> None:
+        """Count a first attempt."""
+
+    def try_spend(self) -> bool:
+        """Return whether one retry may be made now."""
+
+
+def retry_policy(name: str):
+    """Register a class as the retry policy *name*."""
+
+    def register(cls: type) -> type:
+        RETRY_POLICIES[name] = cls
+        return cls
+
+    return register
+
+
+@retry_policy('budget')
 class RetryBudget:
     """Tokens earned by first attempts and spent by retries."""
 
@@ -32,12 +58,18 @@
         self._min_per_s = min_per_s
         self._clock = clock
         self._tokens = 0.0
-        self._idle_tokens = 1.0
+        # One retry, and what the first attempt before it takes off.
+        self._idle_limit = min(1.0, min_per_s) + ratio
+        self._idle_tokens = self._idle_limit
         self._refilled_at_s = clock()
 
     def first_attempt(self) -> None:
         """Count a first attempt."""
         self._tokens = min(self._tokens + self._ratio, MAX_SAVED_RETRIES)
+        # The rate for an idle entry is a floor: added to the ratio, a busy
+        # entry's retries exceeded a tenth of its first attempts.
+        self._refill()
+        self._idle_tokens = max(0.0, self._idle_tokens - self._ratio)
 
     def try_spend(self) -> bool:
         """Spend one retry; return False if the budget is used up."""
@@ -53,5 +85,35 @@
     def _refill(self) -> None:
         now_s = self._clock()
         earned = (now_s - self._refilled_at_s) * self._min_per_s
-        self._idle_tokens = min(1.0, self._idle_tokens + earned)
+        self._idle_tokens = min(self._idle_limit, self._idle_tokens + earned)
         self._refilled_at_s = now_s
+
+
+@retry_policy('unlimited')
+class UnlimitedRetries:
+    """Plain alternative: every failed attempt is repeated."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        del clock
+
+    def first_attempt(self) -> None:
+        """See :class:`RetryPolicy`."""
+
+    def try_spend(self) -> bool:
+        """See :class:`RetryPolicy`."""
+        return True
+
+
+@retry_policy('never')
+class NoRetries:
+    """Plain alternative: no attempt is repeated."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        del clock
+
+    def first_attempt(self) -> None:
+        """See :class:`RetryPolicy`."""
+
+    def try_spend(self) -> bool:
+        """See :class:`RetryPolicy`."""
+        return False
--- a/tests/cover/test_retries.py
+++ b/tests/cover/test_retries.py
@@ -20,6 +20,28 @@
     assert spent <= 10_000 * budget.RETRY_RATIO + 1
 
 
+def test_busy_entry_gets_no_retries_beside_its_share():
+    """Guards against the floor for idle entries on top of the ratio."""
+    now = [0.0]
+    retries = budget.RetryBudget(clock=lambda: now[0])
+    spent = 0
+    for _ in range(10_000):
+        now[0] += 0.02
+        retries.first_attempt()
+        spent += retries.try_spend()
+    assert spent <= 10_000 * budget.RETRY_RATIO + 1
+
+
+def test_idle_entry_may_retry_a_lost_attempt():
+    """Guards against a single call that fails for want of a budget."""
+    now = [0.0]
+    retries = budget.RetryBudget(clock=lambda: now[0])
+    for _ in range(5):
+        now[0] += 2.0
+        retries.first_attempt()
+        assert retries.try_spend()
+
+
 @pytest.mark.parametrize('value', ['-1', '0', 'nan', 'inf', 'soon', '1e999'])
 def test_deadline_that_is_not_a_positive_number_is_refused(value):
     """Guards against calls without an end."""
