--- a/tests/nocover/test_fresh_targets.py
+++ b/tests/nocover/test_fresh_targets.py
@@ -87,7 +87,7 @@
                 whole = callers.whole
                 before = await _engine_state(cluster)
                 await step()
-                await asyncio.sleep(1.0)
+                await asyncio.sleep(1.2)
                 after = await _engine_state(cluster)
                 falls[name] = sum(
                     state['falls']
