Wait for each unwanted connection in one task only

Cause: the wanted peers are now worked out twice a second, and each time a connection that calls still hold got another task that waits for them. Figures: three calls of want() gave three tasks, now one (unit test).

--- a/src/wagtailhollow/internal/wire/pool.py
+++ b/src/wagtailhollow/internal/wire/pool.py
@@ -32,7 +32,7 @@
     ) -> None:
         self._tls = tls
         self._holds: collections.Counter[str] = collections.Counter()
-        self._releasing: set[asyncio.Task[None]] = set()
+        self._releasing: dict[str, asyncio.Task[None]] = {}
         self._local = local
         self._key_ring = key_ring
         self._handlers = handlers
@@ -48,12 +48,12 @@
         """
         self._wanted = set(addresses)
         for address in set(self._tasks) - self._wanted:
-            if self._holds[address]:
-                task = asyncio.create_task(self._release(address))
-                self._releasing.add(task)
-                task.add_done_callback(self._releasing.discard)
-            else:
+            if not self._holds[address]:
                 self._tasks.pop(address).cancel()
+            elif address not in self._releasing:
+                self._releasing[address] = asyncio.create_task(
+                    self._release(address)
+                )
         for address in self._wanted - set(self._tasks):
             self._tasks[address] = asyncio.create_task(self._keep(address))
 
@@ -108,6 +108,7 @@
     async def _release(self, address: str) -> None:
         while self._holds[address]:
             await asyncio.sleep(RELEASE_POLL_S)
+        del self._releasing[address]
         if address not in self._wanted and address in self._tasks:
             self._tasks.pop(address).cancel()
 
--- a/tests/cover/test_peer_connections.py
+++ b/tests/cover/test_peer_connections.py
@@ -16,7 +16,14 @@
 from wagtailhollow import errors
 from wagtailhollow.internal.observability import metrics
 from wagtailhollow.internal.settings import schema
-from wagtailhollow.internal.wire import auth, codec, connection, server, tls
+from wagtailhollow.internal.wire import (
+    auth,
+    codec,
+    connection,
+    pool,
+    server,
+    tls,
+)
 from wagtailhollow.internal.wire.gen import ttypes
 
 LOCAL = auth.Identity('node-1', ttypes.Role.ENTRY, 'dc-a', 'demo', 7)
@@ -275,3 +282,28 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(go())
+
+
+def test_unwanted_peer_stays_connected_while_calls_hold_it(tmp_path):
+    """Guards against streams cut because a host left the list."""
+
+    async def go():
+        ring = _key_ring(tmp_path / 'k.json', 'k')
+        async with _Peers(ring) as peers:
+            address = f'127.0.0.1:{peers.port}'
+            found = pool.PeerPool(LOCAL, ring, connection.Handlers(), _beat)
+            found.want([address])
+            async with asyncio.timeout(3):
+                while found.get(address) is None:
+                    await asyncio.sleep(0.01)
+                with found.hold(address):
+                    for _ in range(3):
+                        found.want([])
+                    await asyncio.sleep(0.1)
+                    assert found.get(address) is not None
+                    assert len(found._releasing) == 1
+                while found.get(address) is not None:
+                    await asyncio.sleep(0.01)
+            await found.stop()
+
+    asyncio.run(go())
