--- a/src/wagtailhollow/internal/agent/calls.py
+++ b/src/wagtailhollow/internal/agent/calls.py
@@ -64,7 +64,7 @@
         self._load = load
         self._running: dict[str, RunningCall] = {}
         self._ended: dict[str, _Ended] = {}
-        self._cancelled: collections.OrderedDict[str, None] = (
+        self._cancelled: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
         handlers.on_request(ttypes.Dispatch)(self._dispatch)
@@ -131,7 +131,10 @@
             raise errors.Refusal(
                 errors.ErrorKind.STALE_ORDER, 'the call is running already'
             )
-        if message.call_id in self._cancelled or not conn.is_open:
+        # A later attempt of the call may come here again: the entry cancels an
+        # attempt whose reply was lost and has few other targets to try.
+        cancelled = self._cancelled.get(message.call_id, 0)
+        if message.attempt <= cancelled or not conn.is_open:
             raise errors.Refusal(
                 errors.ErrorKind.STALE_ORDER, 'the call was cancelled'
             )
@@ -334,7 +337,7 @@
         call = self._running.get(message.call_id)
         if call is None:
             # Its dispatch may still wait for the table or for a load report.
-            self._cancelled[message.call_id] = None
+            self._cancelled[message.call_id] = message.attempt
             while len(self._cancelled) > MAX_REMEMBERED_CANCELS:
                 self._cancelled.popitem(last=False)
         elif not call.is_claimed and call.attempt <= message.attempt:
--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -243,8 +243,16 @@
             except attempts.AttemptFailed as exc:
                 if exc.phase is attempts.Phase.REFUSED:
                     reroutes += 1
-                if not self._may_go_on(exc, reroutes):
-                    raise exc.refusal from exc
+                if self._may_go_on(exc, reroutes):
+                    continue
+                if exc.phase is attempts.Phase.REFUSED:
+                    # The kinds of agents' refusals speak of one target.
+                    raise errors.Refusal(
+                        errors.ErrorKind.OVERLOADED,
+                        f'no target took the call: {exc.refusal.message}',
+                        retry_after_s=1.0,
+                    ) from exc
+                raise exc.refusal from exc
 
     def _may_go_on(self, exc: attempts.AttemptFailed, reroutes: int) -> bool:
         if exc.phase is attempts.Phase.ANSWERING:
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -22,18 +23,28 @@
 REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
+PORTS = (10_000, 32_000)
 MODEL = 'report-writer'
 MODEL_SERVICE = 'reports'
 PLAIN_SERVICE = 'orders'
 
 
 def free_ports(count: int) -> list[int]:
-    """Return *count* loopback ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind(('127.0.0.1', 0))
-        return [item.getsockname()[1] for item in sockets]
+    """Return *count* loopback ports that are free now.
+
+    They lie below the range from which the system takes the ports of outgoing
+    connections: such a connection could take a port before its process
+    listens, or between its stop and its next start.
+    """
+    result: list[int] = []
+    while len(result) < count:
+        port = random.randrange(*PORTS)
+        if port in result:
+            continue
+        with socket.socket() as item, contextlib.suppress(OSError):
+            item.bind(('127.0.0.1', port))
+            result.append(port)
+    return result
 
 
 @dataclasses.dataclass
