Split the entry's HTTP side and the agent's calls, honour Request-Timeout

Requests, sink and application are modules of their own, so are the running call and the answer sink's protocol. The deadline of the caller shortens that of the call.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -13,13 +13,13 @@
 import sys
 import time
 
-from measure import load
+from measure import open_loop
 from standins import deployment
 
 SHAPE = deployment.Shape(
     engine_options=('--token-ms', '15', '--first-ms', '30'),
 )
-PLAN = load.Plan(seed=1, seconds=24.0, rate=12.0)
+PLAN = open_loop.Plan(seed=1, seconds=24.0, rate=12.0)
 LEAVE_S, SETTLED_S, RETURN_S = 6.0, 9.0, 15.0
 PHASES = {
     'before': (0.0, LEAVE_S),
@@ -33,9 +33,9 @@
     await asyncio.sleep(LEAVE_S)
     await cluster.edit_table({'data_centre/dc-b': {'state': 'withdrawn'}})
     await asyncio.sleep(SETTLED_S - LEAVE_S)
-    before = await load.started(cluster, lambda name: 'dc-b' in name)
+    before = await open_loop.started(cluster, lambda name: 'dc-b' in name)
     await asyncio.sleep(RETURN_S - SETTLED_S)
-    after = await load.started(cluster, lambda name: 'dc-b' in name)
+    after = await open_loop.started(cluster, lambda name: 'dc-b' in name)
     await cluster.edit_table({'data_centre/dc-b': {'state': 'in_service'}})
     return after - before
 
@@ -51,13 +51,13 @@
             f'ready after {time.monotonic() - start_s:.1f} s'
         )
         samples, late_calls = await asyncio.gather(
-            load.play(cluster, PLAN), withdraw_and_return(cluster)
+            open_loop.play(cluster, PLAN), withdraw_and_return(cluster)
         )
-        counts = await load.executions(cluster)
-    total = load.summarise(samples)
-    print(f'{"phase":14}{load.HEADINGS}')
-    for name, chosen in load.phases(samples, PHASES).items():
-        print(f'{name:14}{load.summarise(chosen).line()}')
+        counts = await open_loop.executions(cluster)
+    total = open_loop.summarise(samples)
+    print(f'{"phase":14}{open_loop.HEADINGS}')
+    for name, chosen in open_loop.phases(samples, PHASES).items():
+        print(f'{name:14}{open_loop.summarise(chosen).line()}')
     print(f'{"total":14}{total.line()}')
     duplicates = sum(number > 1 for number in counts.values())
     placed = {
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -18,7 +18,7 @@
 import time
 from collections.abc import Sequence
 
-from measure import common, load
+from measure import common, open_loop
 from standins import caller, deployment
 
 CLOCK_TICKS_PER_S = os.sysconf('SC_CLK_TCK')
@@ -154,7 +154,7 @@
         figure('CPU a token, entry', 'µs', cpu_s[0] / tokens * 1e6),
         figure('CPU a token, agent', 'µs', cpu_s[1] / tokens * 1e6),
         figure('between tokens p95, 40 streams', 'ms',
-               load.percentile(gaps, 95) * 1000, 33.0),
+               open_loop.percentile(gaps, 95) * 1000, 33.0),
         figure('loaded entry, memory', 'MB', after[0].memory_mb,
                MEMORY_LIMIT_MB),
         figure('loaded agent, memory', 'MB', after[1].memory_mb,
--- a/measure/data_centre.py
+++ b/measure/data_centre.py
@@ -15,7 +15,7 @@
 
 from standins import deployment
 
-from . import common, load
+from . import common, open_loop
 
 POLICIES = ('prefix_affinity', 'power_of_two', 'round_robin',
             'least_reported_load')  # fmt: skip
@@ -38,13 +38,13 @@
 class Outcome:
     """Samples of one run, by phase, and the calls that the zone got late."""
 
-    phases: dict[str, list[load.Sample]]
+    phases: dict[str, list[open_loop.Sample]]
     phase_s: float
     late_calls: int
 
-    def summary(self, phase: str) -> load.Summary:
+    def summary(self, phase: str) -> open_loop.Summary:
         """Return the figures of one phase."""
-        return load.summarise(self.phases[phase])
+        return open_loop.summarise(self.phases[phase])
 
     def admitted_share(self) -> float:
         """Return admitted work over what the remaining targets can bear."""
@@ -81,7 +81,9 @@
     rate /= 1 - ORDER_SHARE
     warm_s = phase_s / 2
     leave_s, return_s = warm_s + phase_s, warm_s + 2 * phase_s
-    plan = load.Plan(seed, warm_s + 3 * phase_s, rate, ORDER_SHARE, TOKENS)
+    plan = open_loop.Plan(
+        seed, warm_s + 3 * phase_s, rate, ORDER_SHARE, TOKENS
+    )
     async with deployment.Deployment(shape(policy)) as cluster:
 
         async def withdraw_and_return() -> int:
@@ -89,21 +91,25 @@
             row = 'data_centre/dc-b'
             await cluster.edit_table({row: {'state': 'withdrawn'}})
             await asyncio.sleep(SETTLING_S)
-            before = await load.started(cluster, lambda name: 'dc-b' in name)
+            before = await open_loop.started(
+                cluster, lambda name: 'dc-b' in name
+            )
             await asyncio.sleep(return_s - leave_s - SETTLING_S)
-            after = await load.started(cluster, lambda name: 'dc-b' in name)
+            after = await open_loop.started(
+                cluster, lambda name: 'dc-b' in name
+            )
             await cluster.edit_table({row: {'state': 'in_service'}})
             return after - before
 
         samples, late = await asyncio.gather(
-            load.play(cluster, plan), withdraw_and_return()
+            open_loop.play(cluster, plan), withdraw_and_return()
         )
     limits = {
         'before': (warm_s, leave_s),
         'during': (leave_s, return_s),
         'after': (return_s, plan.seconds),
     }
-    return Outcome(load.phases(samples, limits), phase_s, late)
+    return Outcome(open_loop.phases(samples, limits), phase_s, late)
 
 
 def figures(policy: str, outcomes: list[Outcome]) -> list[common.Figure]:
--- a/src/wagtailhollow/internal/agent/calls.py
+++ b/src/wagtailhollow/internal/agent/calls.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import collections
-import contextlib
 import time
 from collections.abc import Callable
 
@@ -16,15 +15,13 @@
 from . import gate as gate_module
 from . import ledger as ledger_module
 from . import ramp as ramp_module
+from . import running_call
 from . import watcher as watcher_module
 from .backends import registry
 
 RESUME_GRACE_S = 10.0
 """How long a stream is kept for an entry whose connection ended."""
 
-MAX_CHUNK_BYTES = 16 * 1024
-"""Pieces are small, so that no call occupies a connection for long."""
-
 MAX_REMEMBERED_CANCELS = 4096
 
 MAX_ENGINE_RECONNECTS = 3
@@ -62,7 +59,7 @@
         self._ledger = ledger
         self._catch_up = catch_up
         self._load = load
-        self._running: dict[str, RunningCall] = {}
+        self._running: dict[str, running_call.RunningCall] = {}
         self._ended: dict[str, _Ended] = {}
         self._cancelled: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
@@ -110,7 +107,9 @@
             return ttypes.DispatchReply(
                 False, exc.kind.value, exc.message, self._load()
             )
-        call = RunningCall(conn, message, ticket, self._ramp.epoch)
+        call = running_call.RunningCall(
+            conn, message, ticket, self._ramp.epoch
+        )
         self._running[message.call_id] = call
         call.task = asyncio.create_task(self._run(call, message))
         return ttypes.DispatchReply(True)
@@ -144,7 +143,9 @@
         self._watcher.count_start()
         return self._gate.enter()
 
-    async def _run(self, call: RunningCall, message: ttypes.Dispatch) -> None:
+    async def _run(
+        self, call: running_call.RunningCall, message: ttypes.Dispatch
+    ) -> None:
         request = registry.BackendCall(
             message.call_id,
             message.method,
@@ -195,7 +196,7 @@
 
     async def _relay(
         self,
-        call: RunningCall,
+        call: running_call.RunningCall,
         answer: registry.BackendAnswer,
         offset: int,
         record: Callable[[bytes], None] | None,
@@ -226,7 +227,7 @@
 
     def _backend_failed(
         self,
-        call: RunningCall,
+        call: running_call.RunningCall,
         message: ttypes.Dispatch,
         exc: registry.BackendFailed,
     ) -> None:
@@ -239,7 +240,9 @@
             self._ledger.withdraw(message.claim)
         call.abort(errors.ErrorKind.NO_TARGET, str(exc))
 
-    async def _finish(self, call: RunningCall, is_answered: bool) -> None:
+    async def _finish(
+        self, call: running_call.RunningCall, is_answered: bool
+    ) -> None:
         """Free the place of the call once the target no longer runs it."""
         is_running_on = False
         try:
@@ -272,7 +275,7 @@
                 errors.ErrorKind.STALE_ORDER,
                 'a later attempt has the stream, or it is a claimed call',
             )
-        call = RunningCall(conn, message, None, self._ramp.epoch)
+        call = running_call.RunningCall(conn, message, None, self._ramp.epoch)
         # Registered before the suspension: of two resumptions that cross, the
         # later one takes the stream from the earlier one.
         self._running[message.call_id] = call
@@ -290,7 +293,7 @@
         call.task = asyncio.create_task(self._run_resumed(call, message))
         return ttypes.DispatchReply(True)
 
-    def _abandon(self, call: RunningCall) -> None:
+    def _abandon(self, call: running_call.RunningCall) -> None:
         """Drop a resumption that never started to relay."""
         if self._running.get(call.call_id) is call:
             del self._running[call.call_id]
@@ -298,7 +301,7 @@
             self._gate.leave(call.ticket, is_running_on=True)
 
     async def _run_resumed(
-        self, call: RunningCall, message: ttypes.Resume
+        self, call: running_call.RunningCall, message: ttypes.Resume
     ) -> None:
         is_answered = False
         try:
@@ -359,7 +362,7 @@
             if not call.is_claimed:
                 loop.call_later(RESUME_GRACE_S, self._give_up, call)
 
-    def _give_up(self, call: RunningCall) -> None:
+    def _give_up(self, call: running_call.RunningCall) -> None:
         if self._running.get(call.call_id) is call:
             call.cancel()
 
@@ -377,130 +380,6 @@
         return self._conn.echoed_ms > self._at_ms
 
 
-class RunningCall:
-    """One call in progress and the flow control of its answer.
-
-    :ivar ticket: its place at the gate; None while another attempt has it.
-    :ivar epoch: the ramp's epoch in which it started.
-    :ivar offset: position of the next byte to be sent.
-    """
-
-    def __init__(
-        self,
-        conn: connection.PeerConnection,
-        message: ttypes.Dispatch | ttypes.Resume,
-        ticket: int | None,
-        epoch: int,
-    ) -> None:
-        self.conn = conn
-        self.call_id = message.call_id
-        self.attempt = message.attempt
-        self.is_claimed = getattr(message, 'claim', None) is not None
-        self.never_reached_target = False
-        self.task: asyncio.Task[None] | None = None
-        self.ticket = ticket
-        self.epoch = epoch
-        self.offset = 0
-        self.is_stream = False
-        self.is_detached = False
-        self._has_begun = False
-        self._is_cancelled = False
-        self._credit = message.window_bytes
-        self._credit_added = asyncio.Event()
-
-    def send_head(self, answer: registry.BackendAnswer) -> None:
-        """Send status and headers."""
-        self.is_stream = answer.is_stream
-        self._post(
-            ttypes.ResponseHead(
-                self.call_id,
-                self.attempt,
-                answer.status,
-                dict(answer.headers),
-            )
-        )
-
-    async def send_body(
-        self,
-        answer: registry.BackendAnswer,
-        record: Callable[[bytes], None] | None,
-    ) -> None:
-        """Send the body as credit and the socket allow.
-
-        :param record: called with each piece of the body, if given; then
-            the whole body is read even if the entry is gone.
-        """
-        async for data in answer.chunks:
-            if record is not None:
-                record(data)
-            for start in range(0, len(data), MAX_CHUNK_BYTES):
-                await self._send(data[start : start + MAX_CHUNK_BYTES])
-
-    def send_end(self) -> None:
-        """Send the number of bytes, which ends the answer."""
-        self._post(ttypes.End(self.call_id, self.attempt, self.offset))
-
-    async def _send(self, data: bytes) -> None:
-        while self._credit <= 0 and not self._may_skip():
-            self._credit_added.clear()
-            await self._credit_added.wait()
-        self._credit -= len(data)
-        self._post(ttypes.Chunk(self.call_id, self.attempt, self.offset, data))
-        self.offset += len(data)
-        if self.conn.is_congested:
-            with contextlib.suppress(connection.ConnectionLost):
-                await self.conn.drain()
-
-    def _may_skip(self) -> bool:
-        """Return whether the answer is read on for the record only."""
-        return self.is_claimed and not self.conn.is_open
-
-    def _post(self, message) -> None:
-        with contextlib.suppress(connection.ConnectionLost):
-            self.conn.post(message)
-
-    def add_credit(self, count: int) -> None:
-        """Allow *count* more bytes to be sent."""
-        self._credit += max(0, count)
-        self._credit_added.set()
-
-    def abort(self, kind: errors.ErrorKind, message: str) -> None:
-        """Tell the entry that the answer ends here."""
-        if kind is errors.ErrorKind.NO_TARGET:
-            self.never_reached_target = True
-        if not self.is_detached:
-            self._post(
-                ttypes.Abort(self.call_id, self.attempt, kind.value, message)
-            )
-
-    def begin(self) -> None:
-        """Note that the task runs; raises CancelledError if it must not.
-
-        A task that is cancelled before its first step would skip its own
-        clean-up, so until then a cancellation is only noted.
-        """
-        self._has_begun = True
-        if self._is_cancelled:
-            raise asyncio.CancelledError
-
-    def cancel(self) -> None:
-        """Stop the call."""
-        self._is_cancelled = True
-        if self._has_begun and self.task is not None:
-            self.task.cancel()
-
-    def connection_closed(self) -> None:
-        """Wake a claimed call that waits for credit; none will come."""
-        self._credit_added.set()
-
-    async def detach(self) -> None:
-        """Stop relaying without an Abort; a newer attempt takes over."""
-        self.is_detached = True
-        self.cancel()
-        if self.task is not None:
-            await asyncio.gather(self.task, return_exceptions=True)
-
-
 def _check_role(conn: connection.PeerConnection) -> None:
     if conn.peer.role != ttypes.Role.ENTRY:
         raise errors.Refusal(
--- a/src/wagtailhollow/internal/entry/attempts.py
+++ b/src/wagtailhollow/internal/entry/attempts.py
@@ -15,6 +15,7 @@
 from ..observability import metrics
 from ..routing import load_view, policy
 from ..streams import assembler, incoming
+from ..streams import sink as sink_module
 from ..wire import connection, pool
 from ..wire.gen import ttypes
 from . import call as call_module
@@ -88,7 +89,7 @@
         self._view = view
 
     async def run(
-        self, attempt: Attempt, sink: call_module.AnswerSink
+        self, attempt: Attempt, sink: sink_module.AnswerSink
     ) -> None:
         """Run one attempt to the end of its answer.
 
@@ -262,7 +263,7 @@
 class _Relay:
     """Position in one answer while it goes from the agent to the caller."""
 
-    def __init__(self, attempt: Attempt, sink: call_module.AnswerSink) -> None:
+    def __init__(self, attempt: Attempt, sink: sink_module.AnswerSink) -> None:
         self._attempt = attempt
         self._sink = sink
         self._head: ttypes.ResponseHead | None = None
--- a/src/wagtailhollow/internal/entry/call.py
+++ b/src/wagtailhollow/internal/entry/call.py
@@ -5,7 +5,6 @@
 import dataclasses
 import time
 from collections.abc import Mapping
-from typing import Protocol
 
 from ..table import model
 
@@ -59,23 +58,3 @@
     def remaining_s(self) -> float:
         """Return the time left until the deadline."""
         return self.deadline_s - time.monotonic()
-
-
-class AnswerSink(Protocol):
-    """Where the answer to one call goes."""
-
-    @property
-    def is_started(self) -> bool:
-        """Return whether the caller has received anything."""
-
-    def served_by(self, data_centre: str) -> None:
-        """Note the data centre of the target that is tried now."""
-
-    async def start(self, status: int, headers: Mapping[str, str]) -> None:
-        """Send the head of the answer."""
-
-    async def write(self, data: bytes) -> None:
-        """Send a piece of the body; waits for a slow reader."""
-
-    async def finish(self) -> None:
-        """End the body."""
--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -11,6 +11,7 @@
 from ... import errors
 from ..retries import budget, hedging
 from ..routing import load_view, policy
+from ..streams import sink as sink_module
 from ..table import queries
 from ..wire.gen import ttypes
 from . import attempts
@@ -31,7 +32,7 @@
         self,
         handler: CallHandler,
         call: call_module.Call,
-        sink: call_module.AnswerSink,
+        sink: sink_module.AnswerSink,
     ) -> None:
         """Answer *call*; see :meth:`CallHandler.handle`."""
 
@@ -61,7 +62,7 @@
         self._budgets: dict[str, budget.RetryPolicy] = {}
 
     async def handle(
-        self, call: call_module.Call, sink: call_module.AnswerSink
+        self, call: call_module.Call, sink: sink_module.AnswerSink
     ) -> None:
         """Answer *call* through *sink*.
 
@@ -150,7 +151,7 @@
         )
 
     async def run_attempt(
-        self, attempt: attempts.Attempt, sink: call_module.AnswerSink
+        self, attempt: attempts.Attempt, sink: sink_module.AnswerSink
     ) -> None:
         """Run one attempt; see :meth:`attempts.AttemptRunner.run`."""
         await self._runner.run(attempt, sink)
@@ -215,7 +216,7 @@
             handler.max_wait_s, call.remaining_s()
         )
 
-    async def run(self, sink: call_module.AnswerSink) -> None:
+    async def run(self, sink: sink_module.AnswerSink) -> None:
         """Answer the call; raises Refusal."""
         self._budget.first_attempt()
         delay_s = self._call.service.hedge_after_ms / 1000
@@ -230,7 +231,7 @@
             self._budget.try_spend,
         )
 
-    async def _attempts(self, sink: call_module.AnswerSink) -> None:
+    async def _attempts(self, sink: sink_module.AnswerSink) -> None:
         reroutes = 0
         while True:
             candidate = await self._choose()
--- a/src/wagtailhollow/internal/entry/claimed_calls.py
+++ b/src/wagtailhollow/internal/entry/claimed_calls.py
@@ -18,6 +18,7 @@
 from ..observability import metrics
 from ..platform import api
 from ..routing import load_view, policy
+from ..streams import sink as sink_module
 from ..wire import connection, pool
 from ..wire.gen import ttypes
 from . import attempts, calls
@@ -55,7 +56,7 @@
         self,
         handler: calls.CallHandler,
         call: call_module.Call,
-        sink: call_module.AnswerSink,
+        sink: sink_module.AnswerSink,
     ) -> None:
         """Answer *call*: result, proven not run, or may have run."""
         claimed_call = _ClaimedCall(
@@ -146,7 +147,7 @@
         self._tried: set[str] = set()
         self._own: claims.Claim | None = None
 
-    async def answer(self, sink: call_module.AnswerSink) -> None:
+    async def answer(self, sink: sink_module.AnswerSink) -> None:
         """Answer through *sink*; raises Refusal."""
         try:
             for turn in range(1, MAX_TURNS + 1):
@@ -173,7 +174,7 @@
         )
 
     async def _find_free(
-        self, sink: call_module.AnswerSink
+        self, sink: sink_module.AnswerSink
     ) -> claims.Claim | _Answered | None:
         """Return what a new claim replaces, or answer from the present one.
 
@@ -211,7 +212,7 @@
         return dataclasses.replace(found, state=state, answer=answer)
 
     async def _replay(
-        self, found: claims.Claim, sink: call_module.AnswerSink
+        self, found: claims.Claim, sink: sink_module.AnswerSink
     ) -> None:
         self._count(found.state)
         if found.state == 'done' and found.answer is not None:
@@ -233,7 +234,7 @@
         self,
         previous: claims.Claim | None,
         turn: int,
-        sink: call_module.AnswerSink,
+        sink: sink_module.AnswerSink,
     ) -> bool:
         """Claim and dispatch once; return False if another turn may follow."""
         candidate = await self._handler.choose(self._call, self._tried)
@@ -271,7 +272,7 @@
         claim: claims.Claim,
         candidate: policy.Candidate,
         turn: int,
-        sink: call_module.AnswerSink,
+        sink: sink_module.AnswerSink,
     ) -> bool:
         """Dispatch once; return False if it is proven that it did not run."""
         recorder = RecordingSink(sink)
@@ -335,7 +336,7 @@
 class RecordingSink:
     """Passes an answer on and keeps a copy for the claim."""
 
-    def __init__(self, sink: call_module.AnswerSink) -> None:
+    def __init__(self, sink: sink_module.AnswerSink) -> None:
         self._sink = sink
         self._status = 0
         self._headers: Mapping[str, str] = {}
@@ -344,21 +345,21 @@
 
     @property
     def is_started(self) -> bool:
-        """See :class:`call.AnswerSink`."""
+        """See :class:`sink.AnswerSink`."""
         return self._sink.is_started
 
     def served_by(self, data_centre: str) -> None:
-        """See :class:`call.AnswerSink`."""
+        """See :class:`sink.AnswerSink`."""
         self._sink.served_by(data_centre)
 
     async def start(self, status: int, headers: Mapping[str, str]) -> None:
-        """See :class:`call.AnswerSink`."""
+        """See :class:`sink.AnswerSink`."""
         self._status = status
         self._headers = headers
         await self._sink.start(status, headers)
 
     async def write(self, data: bytes) -> None:
-        """See :class:`call.AnswerSink`."""
+        """See :class:`sink.AnswerSink`."""
         self._sent_bytes += len(data)
         if self._sent_bytes > claims.MAX_RECORDED_BODY_BYTES:
             self._body = None
@@ -367,7 +368,7 @@
         await self._sink.write(data)
 
     async def finish(self) -> None:
-        """See :class:`call.AnswerSink`."""
+        """See :class:`sink.AnswerSink`."""
         await self._sink.finish()
 
     def recorded(self) -> claims.RecordedAnswer | None:
@@ -419,7 +420,7 @@
 
 
 async def _send(
-    sink: call_module.AnswerSink, answer: claims.RecordedAnswer
+    sink: sink_module.AnswerSink, answer: claims.RecordedAnswer
 ) -> None:
     await sink.start(answer.status, answer.headers)
     await sink.write(answer.body)
--- /dev/null
+++ b/src/wagtailhollow/internal/entry/requests.py
@@ -0,0 +1,125 @@
+"""Reads callers' requests: headers, bodies, and what they ask for."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from ... import errors
+
+MAX_PREFIX_CHARS = 256
+DEFAULT_MAX_TOKENS = 1_024
+MAX_KEY_CHARS = 255
+MAX_TOKENS_ASKED = 1_000_000_000
+MAX_ECHO_CHARS = 80
+BYTES_PER_TOKEN_ESTIMATE = 4
+
+Scope = Mapping[str, Any]
+"""ASGI scope of one request."""
+
+
+def header(scope: Scope, name: bytes) -> str:
+    """Return the first value of a header, or an empty string."""
+    for key, value in scope['headers']:
+        if key == name:
+            return value.decode('latin-1')
+    return ''
+
+
+def head_bytes(scope: Scope) -> int:
+    """Return the size of request line and headers in bytes."""
+    fields = sum(len(key) + len(value) + 4 for key, value in scope['headers'])
+    return fields + len(scope['raw_path']) + len(scope['query_string'])
+
+
+def has_body(scope: Scope) -> bool:
+    """Return whether a body is announced."""
+    length = header(scope, b'content-length')
+    return length not in ('', '0') or bool(header(scope, b'transfer-encoding'))
+
+
+def idempotency_key(scope: Scope) -> str | None:
+    """Return the caller's key, or None without the header.
+
+    A key that is empty or given twice is refused: the caller relies on it,
+    and without it a repeated request would run again.
+    """
+    keys = [
+        value.decode('latin-1')
+        for name, value in scope['headers']
+        if name == b'idempotency-key'
+    ]
+    if not keys:
+        return None
+    if len(keys) > 1 or not 0 < len(keys[0]) <= MAX_KEY_CHARS:
+        raise bad_request(
+            f'Idempotency-Key has to be given once, with 1 to {MAX_KEY_CHARS} '
+            f'characters; got {len(keys)} with '
+            f'{max(map(len, keys))} characters'
+        )
+    return keys[0]
+
+
+def target_path(scope: Scope) -> str:
+    """Return path and query for the target as the caller sent them.
+
+    The decoded path would lose the difference between ``?`` and ``%3F``.
+    """
+    raw = scope['raw_path'].decode('latin-1')
+    path = '/' + raw.removeprefix('/v1/services/').partition('/')[2]
+    query = scope['query_string'].decode('latin-1')
+    return f'{path}?{query}' if query else path
+
+
+def echo(value: Any) -> str:
+    """Return *value* for an error message, cut to a bounded length."""
+    text = repr(value)
+    return text if len(text) <= MAX_ECHO_CHARS else text[:MAX_ECHO_CHARS] + '…'
+
+
+def json_object(body: bytes) -> dict[str, Any]:
+    """Return the JSON object in *body*; raises BAD_REQUEST."""
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as exc:
+        raise bad_request(f'the body is not JSON: {exc}') from exc
+    if not isinstance(document, dict):
+        raise bad_request('the body is not a JSON object')
+    return document
+
+
+def worst_case_tokens(document: Mapping[str, Any], body: bytes) -> int:
+    """Return prompt estimate and ``max_tokens``; raises BAD_REQUEST."""
+    asked = document.get('max_tokens', DEFAULT_MAX_TOKENS)
+    if type(asked) is not int or not 1 <= asked <= MAX_TOKENS_ASKED:
+        raise bad_request(
+            'max_tokens has to be a whole number from 1 to '
+            f'{MAX_TOKENS_ASKED}, got {echo(asked)}'
+        )
+    return asked + len(body) // BYTES_PER_TOKEN_ESTIMATE
+
+
+def prompt_prefix(document: Mapping[str, Any]) -> str:
+    """Return the start of the prompt, for prefix affinity."""
+    messages = document.get('messages')
+    if not isinstance(messages, list):
+        raise bad_request('messages has to be a list')
+    try:
+        # ASCII only: a lone surrogate could not be encoded later.
+        return json.dumps(messages[:2])[:MAX_PREFIX_CHARS]
+    except RecursionError as exc:
+        raise bad_request('messages are nested too deeply') from exc
+
+
+def bad_request(message: str) -> errors.Refusal:
+    """Return a BAD_REQUEST refusal."""
+    return errors.Refusal(errors.ErrorKind.BAD_REQUEST, message)
+
+
+def body_too_large(limit: int) -> errors.Refusal:
+    """Return a BODY_TOO_LARGE refusal."""
+    return errors.Refusal(
+        errors.ErrorKind.BODY_TOO_LARGE,
+        f'the body exceeds the limit of {limit} bytes',
+    )
--- a/src/wagtailhollow/internal/retries/hedging.py
+++ b/src/wagtailhollow/internal/retries/hedging.py
@@ -8,27 +8,8 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Protocol
 
-
-class Sink(Protocol):
-    """The part of an answer sink that a race needs."""
-
-    @property
-    def is_started(self) -> bool:
-        """Return whether the caller has received anything."""
-
-    def served_by(self, data_centre: str) -> None:
-        """Note the data centre of the target."""
-
-    async def start(self, status: int, headers: Mapping[str, str]) -> None:
-        """Send the head."""
-
-    async def write(self, data: bytes) -> None:
-        """Send a piece of the body."""
-
-    async def finish(self) -> None:
-        """End the body."""
+from ..streams import sink as sink_module
 
 
 class Outrun(Exception):
@@ -38,7 +19,7 @@
 class Race:
     """Lets the first of several attempts write to the caller."""
 
-    def __init__(self, sink: Sink) -> None:
+    def __init__(self, sink: sink_module.AnswerSink) -> None:
         self._sink = sink
         self._winner: Lane | None = None
         self.decided = asyncio.Event()
@@ -47,7 +28,7 @@
         """Return the sink for one attempt."""
         return Lane(self)
 
-    def claim(self, lane: Lane) -> Sink:
+    def claim(self, lane: Lane) -> sink_module.AnswerSink:
         """Return the caller's sink if *lane* answered first.
 
         :raises Outrun: another lane did.
@@ -77,28 +58,28 @@
         return self._race.is_won_by(self)
 
     def served_by(self, data_centre: str) -> None:
-        """See :class:`Sink`."""
+        """See :class:`sink_module.AnswerSink`."""
         self._data_centre = data_centre
 
     async def start(self, status: int, headers: Mapping[str, str]) -> None:
-        """See :class:`Sink`."""
+        """See :class:`sink_module.AnswerSink`."""
         sink = self._race.claim(self)
         sink.served_by(self._data_centre)
         await sink.start(status, headers)
 
     async def write(self, data: bytes) -> None:
-        """See :class:`Sink`."""
+        """See :class:`sink_module.AnswerSink`."""
         await self._race.claim(self).write(data)
 
     async def finish(self) -> None:
-        """See :class:`Sink`."""
+        """See :class:`sink_module.AnswerSink`."""
         await self._race.claim(self).finish()
 
 
 async def run(
-    sink: Sink,
-    first: Callable[[Sink], Awaitable[None]],
-    second: Callable[[Sink], Awaitable[None]],
+    sink: sink_module.AnswerSink,
+    first: Callable[[sink_module.AnswerSink], Awaitable[None]],
+    second: Callable[[sink_module.AnswerSink], Awaitable[None]],
     delay_s: float,
     may_hedge: Callable[[], bool],
 ) -> None:
--- a/tests/cover/test_http_edge.py
+++ b/tests/cover/test_http_edge.py
@@ -160,6 +160,8 @@
          'BAD_REQUEST'),
         (request(PLAIN, extra=KEY + f'Idempotency-Key: {"a" * 256}\r\n'),
          'BAD_REQUEST'),
+        (request(PLAIN, extra=KEY + 'Request-Timeout: soon\r\n'),
+         'BAD_REQUEST'),
     ],
 )  # fmt: skip
 def test_bad_input_gets_its_documented_error(data, kind):
@@ -208,6 +210,14 @@
     assert after[0] == 200
 
 
+def test_timeout_of_the_caller_shortens_the_deadline():
+    """Guards against targets that work for callers who have gone."""
+    handler = Handler()
+    extra = KEY + 'Request-Timeout: 2.5\r\n'
+    assert exchange(request(PLAIN, extra=extra), handler=handler)[0] == 200
+    assert handler.calls[0].remaining_s() <= 2.5
+
+
 def test_path_reaches_the_target_as_the_caller_sent_it():
     """Guards against a decoded path that addresses something else."""
     assert exchange(request(PLAIN))[2] == b'/a%3Fb?c=1'
--- a/tests/scenarios/conftest.py
+++ b/tests/scenarios/conftest.py
@@ -9,7 +9,7 @@
 import pytest
 from pytest_bdd import given, parsers, then, when
 
-from measure import load
+from measure import open_loop
 from standins import caller, deployment
 
 SETTLING_S = 3.0
@@ -22,7 +22,7 @@
     def __init__(self, shape: deployment.Shape) -> None:
         self.runner = asyncio.Runner()
         self.cluster = deployment.Deployment(shape)
-        self.samples: list[load.Sample] = []
+        self.samples: list[open_loop.Sample] = []
         self.withdrawn_at: dict[str, float] = {}
         self._load: asyncio.Task[None] | None = None
         self.run(self.cluster.__aenter__())
@@ -31,11 +31,11 @@
         """Run *work*; the background load goes on meanwhile."""
         return self.runner.run(work)
 
-    def start_load(self, plan: load.Plan) -> None:
+    def start_load(self, plan: open_loop.Plan) -> None:
         """Start the background load."""
 
         async def play() -> None:
-            self.samples = await load.play(self.cluster, plan)
+            self.samples = await open_loop.play(self.cluster, plan)
 
         async def start() -> None:
             self._load = asyncio.create_task(play())
@@ -97,7 +97,7 @@
     )
 )
 def start_load(world, rate, seconds, share, seed):
-    world.start_load(load.Plan(seed, seconds, rate, share / 100))
+    world.start_load(open_loop.Plan(seed, seconds, rate, share / 100))
 
 
 @when(parsers.parse('{seconds:g} seconds pass'))
@@ -165,7 +165,7 @@
 
 @then(parsers.parse('at least {share:d} in 100 calls were answered'))
 def check_answered(world, share):
-    summary = load.summarise(world.samples)
+    summary = open_loop.summarise(world.samples)
     assert summary.answered * 100 >= share * summary.calls, summary
 
 
@@ -176,13 +176,13 @@
 
 @then('no order ran twice')
 def check_no_duplicates(world):
-    counts = world.run(load.executions(world.cluster))
+    counts = world.run(open_loop.executions(world.cluster))
     assert not [key for key, number in counts.items() if number > 1]
 
 
 @then('every answered order ran')
 def check_no_loss(world):
-    counts = world.run(load.executions(world.cluster))
+    counts = world.run(open_loop.executions(world.cluster))
     answered = {
         item.order_key
         for item in world.samples
@@ -193,7 +193,7 @@
 
 @then('every refusal is true')
 def check_refusals(world):
-    counts = world.run(load.executions(world.cluster))
+    counts = world.run(open_loop.executions(world.cluster))
     refused = {
         item.order_key
         for item in world.samples
@@ -204,7 +204,7 @@
 
 @then('no call failed except by a true refusal')
 def check_errors(world):
-    assert not load.summarise(world.samples).errors
+    assert not open_loop.summarise(world.samples).errors
 
 
 @then(parsers.parse('data centre "{name}" gets no new call'))
@@ -212,9 +212,13 @@
     async def count() -> int:
         passed_s = time.monotonic() - world.withdrawn_at[name]
         await asyncio.sleep(max(0.0, SETTLING_S - passed_s))
-        before = await load.started(world.cluster, lambda item: name in item)
+        before = await open_loop.started(
+            world.cluster, lambda item: name in item
+        )
         await asyncio.sleep(2.0)
-        after = await load.started(world.cluster, lambda item: name in item)
+        after = await open_loop.started(
+            world.cluster, lambda item: name in item
+        )
         return after - before
 
     assert world.run(count()) == 0
