--- a/measure/limits.py
+++ b/measure/limits.py
@@ -360,7 +360,9 @@
         for has_flood in (False, True)
     }
     figures += [
-        common.Figure('limits/queue/lost_without_flood', 'share', losses[False]),
+        common.Figure(
+            'limits/queue/lost_without_flood', 'share', losses[False]
+        ),
         common.Figure(
             'limits/queue/lost_beside_flood',
             'share',
