--- a/src/wagtailhollow/internal/wire/heartbeat.py
+++ b/src/wagtailhollow/internal/wire/heartbeat.py
@@ -5,7 +5,7 @@
 each connection and side woke an entry with 48 targets 96 times a second, which
 cost 2.9% of a core; the answers to one round arrive together.
 
-Names that stay the same are left out of two of three heartbeats; the receiver
+Names that stay the same are left out of four of five heartbeats; the receiver
 puts them back from the last one that had them.
 """
 
@@ -18,8 +18,9 @@
 from .gen import ttypes
 
 PERIOD_S = 1.0
-FULL_EVERY = 3
-"""A lost heartbeat is made up for within this many, should one get lost."""
+FULL_EVERY = 5
+"""Should one get lost, the names are known again within this many. With every
+third one full, an entry with 48 targets used 6.4 KB/s of its 6 KB/s."""
 
 
 class Ticking(Protocol):
