--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -211,10 +211,8 @@
         self._budget = handler.retry_budget(call.service_name)
         self._numbers = itertools.count(1)
         self._tried: set[str] = set()
-        loop = asyncio.get_running_loop()
-        self._wait_until_s = loop.time() + min(
-            handler.max_wait_s, call.remaining_s()
-        )
+        self._wait_until_s = 0.0
+        self._allow_wait()
 
     async def run(self, sink: sink_module.AnswerSink) -> None:
         """Answer the call; raises Refusal."""
@@ -231,6 +229,11 @@
             self._budget.try_spend,
         )
 
+    def _allow_wait(self) -> None:
+        self._wait_until_s = asyncio.get_running_loop().time() + min(
+            self._handler.max_wait_s, self._call.remaining_s()
+        )
+
     async def _attempts(self, sink: sink_module.AnswerSink) -> None:
         reroutes = 0
         while True:
@@ -245,6 +248,10 @@
                 if exc.phase is attempts.Phase.REFUSED:
                     reroutes += 1
                 if self._may_go_on(exc, reroutes):
+                    if exc.phase is attempts.Phase.SENT:
+                        # A lost attempt takes longer than the wait for a
+                        # place; its repetition may wait again.
+                        self._allow_wait()
                     continue
                 if exc.phase is attempts.Phase.REFUSED:
                     # The kinds of agents' refusals speak of one target.
