Keep parsed rows of one version of the table

Cause: for every call the choice of a target parsed the rows of each target and data centre again, up to four rows for each target. Admission had met the same cost and kept a cache of its own; the view is the right place, since it is replaced with each version. Rows of organisations are not kept: there are thousands and one is read for a call.

--- a/src/wagtailhollow/internal/table/queries.py
+++ b/src/wagtailhollow/internal/table/queries.py
@@ -35,6 +35,7 @@
     def __init__(self, table: model.Table) -> None:
         self.version = table.version
         self._rows = table.rows
+        self._parsed: dict[str, Any] = {}
 
     @functools.cached_property
     def _organisation_of_hash(self) -> dict[str, str]:
@@ -109,5 +110,13 @@
         )
 
     def _row(self, kind: str, name: str, cls: type[T]) -> T | None:
-        row = self._rows.get(model.row_key(kind, name))
-        return None if row is None else parse_row(cls, row)
+        key = model.row_key(kind, name)
+        if key in self._parsed:
+            return self._parsed[key]
+        row = self._rows.get(key)
+        parsed = None if row is None else parse_row(cls, row)
+        # Routing reads the rows of every target for every call. Organisations
+        # are many and read once a call, so their rows are not kept.
+        if row is not None and kind != 'organisation':
+            self._parsed[key] = parsed
+        return parsed
