Let the call handler choose among targets of any kind

The handler built its candidates from agents' reports itself, so a second way to targets would have needed a second handler. Candidates and attempts now come from a TargetSource, the bounds of attempts from RetryRules. The interface to the platform's object API moves from internal/platform to internal/store: the name is needed for the adapter to the users' platform.

--- a/src/wagtailhollow/cli/ctl.py
+++ b/src/wagtailhollow/cli/ctl.py
@@ -10,8 +10,8 @@
 
 from ..internal.operators import client as client_module
 from ..internal.operators import editing, outcome, reporting
-from ..internal.platform import api
 from ..internal.settings import schema
+from ..internal.store import api
 from ..internal.table import model
 from . import common
 
--- a/src/wagtailhollow/internal/agent/compose.py
+++ b/src/wagtailhollow/internal/agent/compose.py
@@ -14,8 +14,8 @@
 from ..membership import hosts
 from ..observability import metrics
 from ..operators import served
-from ..platform import http_store
 from ..settings import schema
+from ..store import http_store
 from ..table import model, queries
 from ..wire import auth, connection, pool, server, tls
 from ..wire.gen import ttypes
--- a/src/wagtailhollow/internal/claims/claims.py
+++ b/src/wagtailhollow/internal/claims/claims.py
@@ -15,7 +15,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from ..platform import api, settled_put
+from ..store import api, settled_put
 from ..wire.gen import ttypes
 
 MAX_RECORDED_BODY_BYTES = 500_000
--- a/src/wagtailhollow/internal/distribution/source.py
+++ b/src/wagtailhollow/internal/distribution/source.py
@@ -12,7 +12,7 @@
 
 from ..membership import hosts, relays
 from ..observability import metrics
-from ..platform import api
+from ..store import api
 from ..table import model
 from . import document
 
--- a/src/wagtailhollow/internal/distribution/start.py
+++ b/src/wagtailhollow/internal/distribution/start.py
@@ -14,7 +14,7 @@
 
 from absl import logging
 
-from ..platform import api
+from ..store import api
 from ..table import model
 from ..wire.gen import ttypes
 from . import document, source
--- a/src/wagtailhollow/internal/entry/attempts.py
+++ b/src/wagtailhollow/internal/entry/attempts.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
-import enum
 import itertools
 import time
 
@@ -13,12 +11,12 @@
 
 from ... import errors
 from ..observability import metrics
-from ..routing import load_view, policy
+from ..routing import load_view
 from ..streams import assembler, incoming
 from ..streams import sink as sink_module
 from ..wire import connection, pool
 from ..wire.gen import ttypes
-from . import call as call_module
+from .attempt import Attempt, AttemptFailed, Phase
 
 WINDOW_BYTES = 16 * 1024
 """Bytes of one answer that may wait in the entry. 2,048 slow readers hold
@@ -36,45 +34,6 @@
 so that a cut one can still be retried elsewhere."""
 
 
-class Phase(enum.Enum):
-    """How far a failed attempt got, which decides what may follow."""
-
-    REFUSED = 'refused'
-    SENT = 'sent'
-    ANSWERING = 'answering'
-
-
-class AttemptFailed(Exception):
-    """An attempt ended without the whole answer.
-
-    :ivar is_ended: whether the agent is known to have ended the call or
-        never to have started it; if not, it has to be cancelled there.
-    """
-
-    def __init__(
-        self, phase: Phase, refusal: errors.Refusal, is_ended: bool = False
-    ) -> None:
-        super().__init__(str(refusal))
-        self.phase = phase
-        self.refusal = refusal
-        self.is_ended = is_ended
-
-
-@dataclasses.dataclass(frozen=True)
-class Attempt:
-    """What one attempt needs to know.
-
-    :ivar number: differs for each attempt and each resumption of a call.
-    """
-
-    call: call_module.Call
-    candidate: policy.Candidate
-    incarnation: int
-    table_version: int
-    number: int
-    claim: ttypes.ClaimTicket | None = None
-
-
 class AttemptRunner:
     """Dispatches attempts and relays their answers."""
 
--- a/src/wagtailhollow/internal/entry/call.py
+++ b/src/wagtailhollow/internal/entry/call.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import sys
 import time
 from collections.abc import Mapping
 
@@ -34,6 +35,7 @@
     :ivar tokens: worst case of tokens, for limits.
     :ivar prefix: start of the prompt, for prefix affinity.
     :ivar deadline_s: monotonic time by which the answer has to end.
+    :ivar max_attempts: targets that may execute it.
     :ivar execution: what is known of its execution; changes with time.
     """
 
@@ -50,6 +52,7 @@
     tokens: int
     prefix: str
     deadline_s: float
+    max_attempts: int = sys.maxsize
     arrived_s: float = dataclasses.field(default_factory=time.monotonic)
     execution: ExecutionRecord = dataclasses.field(
         default_factory=ExecutionRecord, compare=False
--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -3,20 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import itertools
 import random
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ... import errors
 from ..retries import budget, hedging
-from ..routing import load_view, policy
+from ..routing import policy
 from ..streams import sink as sink_module
-from ..table import queries
-from ..wire.gen import ttypes
-from . import attempts
+from . import attempt as attempt_module
 from . import call as call_module
 
+if TYPE_CHECKING:
+    from ..wire.gen import ttypes
+
 DEFAULT_POLICY = 'prefix_affinity'
 MAX_REROUTES = 12
 """Dispatches of one call that agents may refuse before it is given up."""
@@ -25,6 +27,51 @@
 """Pause after all targets refused a call, before they are asked again."""
 
 
+@dataclasses.dataclass(frozen=True)
+class RetryRules:
+    """What bounds the attempts of one call.
+
+    :ivar max_rejections: attempts that targets may reject.
+    :ivar do_rejections_spend: whether an attempt after a rejection draws on
+        the retry budget.
+    :ivar new_budget: returns the retry budget of one service.
+    """
+
+    max_rejections: int = MAX_REROUTES
+    do_rejections_spend: bool = False
+    new_budget: Callable[[], budget.RetryPolicy] = budget.RETRY_POLICIES[
+        budget.DEFAULT_POLICY
+    ]
+
+
+class Runner(Protocol):
+    """Runs one attempt at one target."""
+
+    async def run(
+        self, attempt: attempt_module.Attempt, sink: sink_module.AnswerSink
+    ) -> None:
+        """Deliver the answer to *sink*; raises AttemptFailed."""
+
+
+class TargetSource(Protocol):
+    """What is known of the targets that a call may be sent to."""
+
+    def is_connected(self, call: call_module.Call) -> bool:
+        """Return whether any target of the call's service is known."""
+
+    def candidates(self, call: call_module.Call) -> list[policy.Candidate]:
+        """Return the targets that may take the call, by what is known."""
+
+    def attempt(
+        self,
+        call: call_module.Call,
+        candidate: policy.Candidate,
+        number: int,
+        claim: ttypes.ClaimTicket | None,
+    ) -> attempt_module.Attempt:
+        """Return the attempt of *call* at *candidate*."""
+
+
 class ClaimedCallHandler(Protocol):
     """Handles the calls that must run at most once."""
 
@@ -42,22 +89,24 @@
 
     def __init__(
         self,
-        runner: attempts.AttemptRunner,
-        view: load_view.LoadView,
-        table_view: Callable[[], queries.TableView | None],
-        claimed: ClaimedCallHandler,
+        runner: Runner,
+        targets: TargetSource,
+        claimed: ClaimedCallHandler | None,
         max_wait_s: float,
+        rules: RetryRules | None = None,
     ) -> None:
         """Create a handler.
 
+        :param claimed: handles the calls that must run at most once; None if
+            they are sent once and never again after a lost answer.
         :param max_wait_s: how long a call may look for a target that is not
             full.
         """
         self._runner = runner
-        self._view = view
-        self._table_view = table_view
+        self._targets = targets
         self._claimed = claimed
         self._max_wait_s = max_wait_s
+        self._rules = rules or RetryRules()
         self._policies: dict[str, policy.RoutingPolicy] = {}
         self._budgets: dict[str, budget.RetryPolicy] = {}
 
@@ -69,10 +118,10 @@
         :raises Refusal: if it could not be answered; when the sink is
             started already, the answer was cut.
         """
-        if call.must_not_repeat:
+        if call.must_not_repeat and self._claimed is not None:
             await self._claimed.handle(self, call, sink)
         else:
-            await _RepeatableCall(self, call).run(sink)
+            await _Attempts(self, call).run(sink)
 
     async def choose(
         self, call: call_module.Call, tried: set[str]
@@ -83,7 +132,7 @@
             were tried.
         """
         await self._wait_for_reports(call)
-        candidates = self.candidates(call)
+        candidates = self._targets.candidates(call)
         untried = [item for item in candidates if item.target not in tried]
         if not untried:
             kind = (
@@ -108,90 +157,41 @@
         """
         loop = asyncio.get_running_loop()
         until_s = loop.time() + min(self._max_wait_s, call.remaining_s())
-        while not self._is_connected(call) and loop.time() < until_s:
+        while not self._targets.is_connected(call) and loop.time() < until_s:
             await asyncio.sleep(FULL_PAUSE_S)
 
-    def _is_connected(self, call: call_module.Call) -> bool:
-        return any(
-            report.load.service_name == call.service_name
-            for report in self._view.fresh_reports()
-        )
-
-    def candidates(self, call: call_module.Call) -> list[policy.Candidate]:
-        """Return the targets that may take the call, by what is known."""
-        table = self._table_view()
-        return [
-            candidate
-            for report in self._view.fresh_reports()
-            if report.load.service_name == call.service_name
-            and report.load.state == ttypes.TargetState.IN_SERVICE
-            and not report.draining
-            and not table.is_withdrawn(
-                report.agent.data_centre, report.load.target
-            )
-            and (candidate := self._candidate(call, report, table)).weight > 0
-        ]
-
     def attempt(
         self,
         call: call_module.Call,
         candidate: policy.Candidate,
         number: int,
         claim: ttypes.ClaimTicket | None = None,
-    ) -> attempts.Attempt:
+    ) -> attempt_module.Attempt:
         """Return the attempt of *call* at *candidate*."""
-        report = self._view.report(candidate.target)
-        return attempts.Attempt(
-            call,
-            candidate,
-            report.agent.incarnation if report else 0,
-            self._table_view().version,
-            number,
-            claim,
-        )
+        return self._targets.attempt(call, candidate, number, claim)
 
     async def run_attempt(
-        self, attempt: attempts.Attempt, sink: sink_module.AnswerSink
+        self, attempt: attempt_module.Attempt, sink: sink_module.AnswerSink
     ) -> None:
-        """Run one attempt; see :meth:`attempts.AttemptRunner.run`."""
+        """Run one attempt; see :meth:`attempt_module.AttemptRunner.run`."""
         await self._runner.run(attempt, sink)
 
     def retry_budget(self, service_name: str) -> budget.RetryPolicy:
         """Return the retry budget of a service at this entry."""
         if service_name not in self._budgets:
-            policy_class = budget.RETRY_POLICIES[budget.DEFAULT_POLICY]
-            self._budgets[service_name] = policy_class()
+            self._budgets[service_name] = self._rules.new_budget()
         return self._budgets[service_name]
 
+    @property
+    def rules(self) -> RetryRules:
+        """Return what bounds the attempts of one call."""
+        return self._rules
+
     @property
     def max_wait_s(self) -> float:
         """Return how long a call may look for a target that is not full."""
         return self._max_wait_s
 
-    def _candidate(
-        self,
-        call: call_module.Call,
-        report: load_view.Report,
-        table: queries.TableView,
-    ) -> policy.Candidate:
-        load = report.load
-        data_centre = report.agent.data_centre
-        weights = call.service.data_centre_weights
-        data_centre_weight = weights.get(
-            data_centre, table.data_centre(data_centre).weight
-        )
-        return policy.Candidate(
-            target=load.target,
-            address=report.agent.address,
-            data_centre=data_centre,
-            outstanding=self._view.outstanding(load.target),
-            reported_running=load.running,
-            reported_queued=load.queued,
-            sent_since_report=self._view.sent_since(report),
-            cap=load.cap,
-            weight=data_centre_weight * table.target(load.target).weight,
-        )
-
     def _policy(self, call: call_module.Call) -> policy.RoutingPolicy:
         name = call.service.routing
         if name not in policy.POLICIES:
@@ -202,8 +202,8 @@
         return self._policies[name]
 
 
-class _RepeatableCall:
-    """Attempts of one call that may be repeated."""
+class _Attempts:
+    """The attempts of one call."""
 
     def __init__(self, handler: CallHandler, call: call_module.Call) -> None:
         self._handler = handler
@@ -211,6 +211,7 @@
         self._budget = handler.retry_budget(call.service_name)
         self._numbers = itertools.count(1)
         self._tried: set[str] = set()
+        self._executions = 0
         self._wait_until_s = 0.0
         self._allow_wait()
 
@@ -244,16 +245,16 @@
             try:
                 await self._handler.run_attempt(attempt, sink)
                 return
-            except attempts.AttemptFailed as exc:
-                if exc.phase is attempts.Phase.REFUSED:
+            except attempt_module.AttemptFailed as exc:
+                if exc.phase is attempt_module.Phase.REFUSED:
                     reroutes += 1
                 if self._may_go_on(exc, reroutes):
-                    if exc.phase is attempts.Phase.SENT:
+                    if exc.phase is attempt_module.Phase.SENT:
                         # A lost attempt takes longer than the wait for a
                         # place; its repetition may wait again.
                         self._allow_wait()
                     continue
-                if exc.phase is attempts.Phase.REFUSED:
+                if exc.phase is attempt_module.Phase.REFUSED:
                     # The kinds of agents' refusals speak of one target.
                     raise errors.Refusal(
                         errors.ErrorKind.OVERLOADED,
@@ -262,14 +263,24 @@
                     ) from exc
                 raise exc.refusal from exc
 
-    def _may_go_on(self, exc: attempts.AttemptFailed, reroutes: int) -> bool:
-        if exc.phase is attempts.Phase.ANSWERING:
+    def _may_go_on(
+        self, exc: attempt_module.AttemptFailed, reroutes: int
+    ) -> bool:
+        if exc.phase is attempt_module.Phase.ANSWERING:
             return False
         if self._call.remaining_s() <= 0:
             return False
-        if exc.phase is attempts.Phase.REFUSED:
+        rules = self._handler.rules
+        if exc.phase is attempt_module.Phase.REFUSED:
             # The target never saw the call, so this is no load on it.
-            return reroutes < MAX_REROUTES
+            return reroutes < rules.max_rejections and (
+                not rules.do_rejections_spend or self._budget.try_spend()
+            )
+        if self._call.must_not_repeat:
+            return False
+        self._executions += 1
+        if self._executions >= self._call.max_attempts:
+            return False
         return self._budget.try_spend()
 
     async def _choose(self) -> policy.Candidate:
--- a/src/wagtailhollow/internal/entry/claimed_calls.py
+++ b/src/wagtailhollow/internal/entry/claimed_calls.py
@@ -16,8 +16,8 @@
 from ... import errors
 from ..claims import claims
 from ..observability import metrics
-from ..platform import api
 from ..routing import load_view, policy
+from ..store import api
 from ..streams import sink as sink_module
 from ..wire import connection, pool
 from ..wire.gen import ttypes
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -16,7 +16,6 @@
 from ..membership import hosts, relays, subset
 from ..observability import metrics
 from ..operators import served
-from ..platform import api, http_store
 from ..routing import (
     least_reported,
     load_view,
@@ -25,12 +24,14 @@
     round_robin,
 )
 from ..settings import schema
+from ..store import api, http_store
 from ..streams import incoming
 from ..table import model, queries
 from ..wire import auth, connection, pool, server, tls
 from ..wire.gen import ttypes
 from . import (
     admission,
+    agent_targets,
     app,
     attempts,
     calls,
@@ -123,8 +124,7 @@
         )
         handler = calls.CallHandler(
             runner,
-            self._load_view,
-            lambda: self._view,
+            agent_targets.AgentTargets(self._load_view, lambda: self._view),
             claimed,
             cfg.request_limits.max_wait_s,
         )
--- a/src/wagtailhollow/internal/experts/group.py
+++ b/src/wagtailhollow/internal/experts/group.py
@@ -15,8 +15,8 @@
 from ... import errors
 from ..daemon import lifecycle
 from ..distribution import document
-from ..platform import api, settled_put
 from ..settings import schema
+from ..store import api, settled_put
 from ..wire import codec, connection, pool
 from ..wire.gen import ttypes
 from . import engine, leader, observation, placement, planner, switch
--- a/src/wagtailhollow/internal/experts/leader.py
+++ b/src/wagtailhollow/internal/experts/leader.py
@@ -15,7 +15,7 @@
 
 from absl import logging
 
-from ..platform import api, settled_put
+from ..store import api, settled_put
 
 LEASE_S = 10.0
 RENEW_PERIOD_S = 3.0
--- a/src/wagtailhollow/internal/experts/peers.py
+++ b/src/wagtailhollow/internal/experts/peers.py
@@ -18,7 +18,7 @@
 from ... import errors
 from ..distribution import document
 from ..membership import hosts
-from ..platform import api
+from ..store import api
 from ..wire import codec, connection, pool
 from ..wire.gen import ttypes
 
--- a/src/wagtailhollow/internal/limits/comparisons.py
+++ b/src/wagtailhollow/internal/limits/comparisons.py
@@ -6,7 +6,7 @@
 import collections
 
 from ... import errors
-from ..platform import api
+from ..store import api
 from . import buckets, method, record
 
 MAX_CONFLICTS = 32
--- a/src/wagtailhollow/internal/limits/method.py
+++ b/src/wagtailhollow/internal/limits/method.py
@@ -13,7 +13,7 @@
 from typing import Protocol
 
 from ... import errors
-from ..platform import api
+from ..store import api
 from ..table import model
 from ..wire.gen import ttypes
 
--- a/src/wagtailhollow/internal/limits/owner.py
+++ b/src/wagtailhollow/internal/limits/owner.py
@@ -16,7 +16,7 @@
 
 from ... import errors
 from ..observability import metrics
-from ..platform import api
+from ..store import api
 from ..table import model
 from ..wire.gen import ttypes
 from . import buckets, method, record
--- a/src/wagtailhollow/internal/limits/peers.py
+++ b/src/wagtailhollow/internal/limits/peers.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from ... import errors
-from ..platform import api
+from ..store import api
 from ..wire import connection, pool
 from ..wire.gen import ttypes
 from . import method
--- a/src/wagtailhollow/internal/limits/record.py
+++ b/src/wagtailhollow/internal/limits/record.py
@@ -12,7 +12,7 @@
 import secrets
 from typing import Any
 
-from ..platform import api, settled_put
+from ..store import api, settled_put
 
 PREFIX = 'budgets/'
 RECENT_LIMIT = 32
--- a/src/wagtailhollow/internal/membership/hosts.py
+++ b/src/wagtailhollow/internal/membership/hosts.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from ..platform import api
+from ..store import api
 
 HOSTS_DOCUMENT = 'hosts'
 LEAVING = 'leaving'
--- a/src/wagtailhollow/internal/membership/relays.py
+++ b/src/wagtailhollow/internal/membership/relays.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Callable, Iterable
 
-from ..platform import api
+from ..store import api
 from ..wire import auth
 from ..wire.gen import ttypes
 from . import rendezvous
--- a/src/wagtailhollow/internal/membership/subset.py
+++ b/src/wagtailhollow/internal/membership/subset.py
@@ -14,7 +14,7 @@
 import itertools
 from collections.abc import Iterable, Iterator, Sequence
 
-from ..platform import api
+from ..store import api
 from . import rendezvous
 
 AGENTS_PER_SERVICE = 48
--- a/src/wagtailhollow/internal/operators/client.py
+++ b/src/wagtailhollow/internal/operators/client.py
@@ -13,8 +13,8 @@
 from ..daemon import lifecycle
 from ..distribution import document, sync
 from ..membership import hosts, relays, rendezvous
-from ..platform import api, http_store
 from ..settings import schema
+from ..store import api, http_store
 from ..table import commands, model
 from ..wire import auth, connection, tls
 from ..wire.gen import ttypes
--- a/src/wagtailhollow/internal/operators/editing.py
+++ b/src/wagtailhollow/internal/operators/editing.py
@@ -9,8 +9,8 @@
 
 import json5
 
-from ..platform import api
 from ..settings import describe
+from ..store import api
 from ..table import commands, model
 from . import client as client_module
 from . import outcome, table_file
--- a/src/wagtailhollow/internal/operators/reporting.py
+++ b/src/wagtailhollow/internal/operators/reporting.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from ..platform import api
+from ..store import api
 from ..table import model
 from . import client as client_module
 from . import outcome
--- /dev/null
+++ b/src/wagtailhollow/internal/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API and host list, behind one interface."""
--- a/src/wagtailhollow/internal/table/commands.py
+++ b/src/wagtailhollow/internal/table/commands.py
@@ -25,7 +25,7 @@
 
 import expression
 
-from ..platform import api, settled_put
+from ..store import api, settled_put
 from . import model, validation
 
 Row = Mapping[str, Any]
--- a/standins/memory_platform.py
+++ b/standins/memory_platform.py
@@ -12,7 +12,7 @@
 
 from wagtailhollow import errors
 from wagtailhollow.internal.limits import blocks, comparisons, method
-from wagtailhollow.internal.platform import api
+from wagtailhollow.internal.store import api
 from wagtailhollow.internal.table import model
 from wagtailhollow.internal.wire.gen import ttypes
 
--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -11,7 +11,7 @@
 from wagtailhollow import errors
 from wagtailhollow.internal.agent import ledger
 from wagtailhollow.internal.claims import claims
-from wagtailhollow.internal.platform import api, settled_put
+from wagtailhollow.internal.store import api, settled_put
 from wagtailhollow.internal.wire.gen import ttypes
 
 STATES = ttypes.OutcomeState
--- a/tests/cover/test_distribution.py
+++ b/tests/cover/test_distribution.py
@@ -16,7 +16,7 @@
     start,
 )
 from wagtailhollow.internal.membership import relays, rendezvous, subset
-from wagtailhollow.internal.platform import api
+from wagtailhollow.internal.store import api
 from wagtailhollow.internal.wire import auth
 from wagtailhollow.internal.wire.gen import ttypes
 
--- a/tests/cover/test_table_commands.py
+++ b/tests/cover/test_table_commands.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from wagtailhollow.internal.platform import api
+from wagtailhollow.internal.store import api
 from wagtailhollow.internal.table import commands, model
 
 FAILURE = commands.EditFailure
--- a/tests/prove/test_table_everywhere.py
+++ b/tests/prove/test_table_everywhere.py
@@ -11,7 +11,7 @@
 
 from standins import deployment
 from tests.prove import operating
-from wagtailhollow.internal.platform import http_store
+from wagtailhollow.internal.store import http_store
 from wagtailhollow.internal.table import commands
 
 LIMIT_S = 4.0
