Add an entry that calls targets itself, through an adapter to the users' platform

Cause: on the users' machines plain services have no agent beside them and an agent's host fails apart from its engine, so the hop through the agent cannot be the only way to a target.

No agents yet.

--- /dev/null
+++ b/src/wagtailhollow/cli/direct_entry.py
@@ -0,0 +1,23 @@
+"""``wagtailhollow-direct-entry``: the entry on the users' platform."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+
+from ..internal.entry.direct import compose
+from . import deployed
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the entry; return the exit code."""
+    return deployed.run_daemon(
+        'wagtailhollow-direct-entry',
+        'Accepts calls on the deployed routes and calls targets itself.',
+        compose.DirectEntry,
+        argv,
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/src/wagtailhollow/internal/daemon/lifecycle.py
+++ b/src/wagtailhollow/internal/daemon/lifecycle.py
@@ -27,6 +27,8 @@
 async def run(daemon: Daemon) -> int:
     """Run until SIGTERM or SIGINT, then drain; return the exit code.
 
+    A daemon with a method ``reload`` has it called on SIGHUP.
+
     A second signal ends the drain at once.
     """
     loop = asyncio.get_running_loop()
@@ -38,6 +40,9 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
+    reload = getattr(daemon, 'reload', None)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     try:
         await daemon.start()
     except OSError as exc:
--- /dev/null
+++ b/src/wagtailhollow/internal/directory/__init__.py
@@ -0,0 +1,1 @@
+"""What a deployment consists of: routes, services, organisations, targets."""
--- /dev/null
+++ b/src/wagtailhollow/internal/directory/follow.py
@@ -0,0 +1,139 @@
+"""Keeps a copy of one kind of documents current, with proof of its age."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+import time
+from collections.abc import Callable, Mapping
+from typing import Generic, TypeVar
+
+from ..observability import decisions
+from . import changes
+
+T = TypeVar('T')
+
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 0.8
+"""Pause after a failed call, doubled up to the second value: a store that is
+back has to be noticed well within the 2 s in which changes must apply."""
+
+OUTAGE_S = 1.0
+"""Time without the store after which its entries may have lapsed."""
+
+
+def suspend_aware_now() -> float:
+    """Return a clock in seconds that also counts a suspended machine."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@dataclasses.dataclass(frozen=True)
+class Update(Generic[T]):
+    """What changed.
+
+    :ivar is_listing: *documents* are all documents, not only changed ones.
+    :ivar after_outage: the store was away before this update.
+    """
+
+    documents: Mapping[str, T | None]
+    revision: int
+    is_listing: bool
+    after_outage: bool
+
+
+class Follower(Generic[T]):
+    """Follows one kind of documents for as long as the process runs.
+
+    :ivar confirmed_s: time, by :func:`suspend_aware_now`, at which the copy
+        was certainly the newest.
+    """
+
+    def __init__(
+        self,
+        kind: str,
+        source: changes.ChangeSource[T],
+        apply: Callable[[Update[T]], None],
+        wait_s: float,
+    ) -> None:
+        """Create a follower.
+
+        :param wait_s: how long the store holds a watch without changes.
+        """
+        self._kind = kind
+        self._source = source
+        self._apply = apply
+        self._wait_s = wait_s
+        self._revision: int | None = None
+        self._failing_since_s: float | None = None
+        self._outage_ended = False
+        self.confirmed_s: float | None = None
+
+    def age_s(self) -> float:
+        """Return the age of the last proof that the copy is the newest."""
+        if self.confirmed_s is None:
+            return float('inf')
+        return suspend_aware_now() - self.confirmed_s
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        pause_s = RETRY_MIN_S
+        while True:
+            try:
+                await self._step()
+                self._note_success()
+                pause_s = RETRY_MIN_S
+            except changes.HistoryGone:
+                decisions.log('history_gone', kind=self._kind)
+                self._revision = None
+            except changes.SourceUnavailable as exc:
+                self._note_failure(exc)
+                await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
+                pause_s = min(pause_s * 2, RETRY_MAX_S)
+
+    async def _step(self) -> None:
+        asked_s = suspend_aware_now()
+        if self._revision is None:
+            listing = await self._source.read()
+            self._take(listing.documents, listing.revision, True)
+            self.confirmed_s = asked_s
+            return
+        found = await self._source.watch(self._revision, self._wait_s)
+        if found.documents:
+            self._take(found.documents, found.revision, False)
+            self.confirmed_s = max(self.confirmed_s or 0.0, asked_s)
+        else:
+            # The store answers an empty watch only when its time is over.
+            self.confirmed_s = min(asked_s + self._wait_s, suspend_aware_now())
+            self._revision = max(self._revision, found.revision)
+
+    def _take(
+        self,
+        documents: Mapping[str, T | None],
+        revision: int,
+        is_listing: bool,
+    ) -> None:
+        after_outage = self._outage_ended or self._is_out()
+        self._outage_ended = False
+        self._apply(Update(documents, revision, is_listing, after_outage))
+        self._revision = revision
+
+    def _is_out(self) -> bool:
+        return (
+            self._failing_since_s is not None
+            and suspend_aware_now() - self._failing_since_s > OUTAGE_S
+        )
+
+    def _note_failure(self, exc: Exception) -> None:
+        if self._failing_since_s is None:
+            self._failing_since_s = suspend_aware_now()
+            decisions.log('store_lost', kind=self._kind, reason=str(exc))
+
+    def _note_success(self) -> None:
+        if self._failing_since_s is not None:
+            away_s = suspend_aware_now() - self._failing_since_s
+            self._outage_ended = self._is_out()
+            decisions.log(
+                'store_regained', kind=self._kind, away_s=round(away_s, 3)
+            )
+            self._failing_since_s = None
--- /dev/null
+++ b/src/wagtailhollow/internal/directory/state.py
@@ -0,0 +1,167 @@
+"""The copy of the deployed configuration and of the targets at this host."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Mapping
+
+from ..observability import decisions
+from . import follow, model
+
+LAPSE_GRACE_S = 2.2
+"""Registrations that lapsed during an outage of the store are back within
+about 2 s of its return; then a missing target counts as gone."""
+
+
+class Directory:
+    """Routes, organisations and targets in force."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._routes: dict[str, list[model.Route]] = {}
+        self._targets: dict[str, model.TargetRecord] = {}
+        self._missing_until: dict[str, float] = {}
+        self._seen_s: dict[tuple[str, int], float] = {}
+        self._grace_until_s = 0.0
+        self.manifest: model.Manifest | None = None
+        self.withdrawn: frozenset[str] = frozenset()
+        self.on_targets: list[Callable[[], None]] = []
+
+    def apply_manifest(
+        self, update: follow.Update[model.Manifest | None]
+    ) -> None:
+        """Put a newer manifest in force; older ones are ignored."""
+        for manifest in update.documents.values():
+            if manifest is None or (
+                self.manifest is not None
+                and manifest.revision <= self.manifest.revision
+            ):
+                continue
+            self.manifest = manifest
+            self._routes = _by_host(manifest.routes)
+            decisions.log(
+                'manifest_applied',
+                version=manifest.version,
+                revision=manifest.revision,
+                routes=len(manifest.routes),
+                keys=len(manifest.organisations or ()),
+            )
+
+    def apply_withdrawals(self, update: follow.Update[bool]) -> None:
+        """Take over which data centres operators have withdrawn."""
+        before = self.withdrawn
+        names = set() if update.is_listing else set(before)
+        for name, is_withdrawn in update.documents.items():
+            (names.add if is_withdrawn else names.discard)(name)
+        self.withdrawn = frozenset(names)
+        if before != self.withdrawn:
+            decisions.log(
+                'withdrawals_changed',
+                withdrawn=sorted(names),
+                revision=update.revision,
+            )
+
+    def apply_targets(
+        self, update: follow.Update[model.TargetRecord | None]
+    ) -> None:
+        """Take over registrations of targets."""
+        now_s = self._clock()
+        if update.after_outage:
+            self._grace_until_s = now_s + LAPSE_GRACE_S
+        gone = {
+            name for name, record in update.documents.items() if record is None
+        }
+        if update.is_listing:
+            gone |= self._targets.keys() - update.documents.keys()
+        for name in gone & self._targets.keys():
+            self._remove(name, now_s)
+        for record in update.documents.values():
+            if record is not None:
+                self._register(record, now_s)
+        for notify in self.on_targets:
+            notify()
+
+    def route(self, host: str, path: str) -> model.Route | None:
+        """Return the route with the longest prefix of *path*, or None."""
+        return next(
+            (
+                route
+                for route in self._routes.get(host.lower(), ())
+                if path.startswith(route.prefix)
+            ),
+            None,
+        )
+
+    def targets(self, service: str) -> list[model.TargetRecord]:
+        """Return the targets of a service that take new calls."""
+        return [
+            record
+            for record in self._targets.values()
+            if record.service == service and self._takes_calls(record)
+        ]
+
+    def all_targets(self) -> list[model.TargetRecord]:
+        """Return all targets, those that leave included."""
+        return list(self._targets.values())
+
+    def ready(self, name: str) -> model.TargetRecord | None:
+        """Return the target *name* if it takes new calls."""
+        found = self._targets.get(name)
+        return found if found and self._takes_calls(found) else None
+
+    def cold_left_s(self, record: model.TargetRecord) -> float:
+        """Return for how long a target stays cold."""
+        seen_s = self._seen_s.get(record.incarnation, 0.0)
+        return max(0.0, record.cold_s - (self._clock() - seen_s))
+
+    def services(self) -> Mapping[str, model.Service]:
+        """Return the services of the manifest in force."""
+        return self.manifest.services if self.manifest else {}
+
+    def _takes_calls(self, record: model.TargetRecord) -> bool:
+        now_s = self._clock()
+        return (
+            record.state is model.TargetState.READY
+            and record.data_centre not in self.withdrawn
+            and self._missing_until.get(record.name, now_s) >= now_s
+        )
+
+    def _register(self, record: model.TargetRecord, now_s: float) -> None:
+        before = self._targets.get(record.name)
+        self._targets[record.name] = record
+        self._missing_until.pop(record.name, None)
+        if before is None or before.cold_s != record.cold_s:
+            self._seen_s[record.incarnation] = now_s
+        if before != record:
+            decisions.log(
+                'target_registered',
+                target=record.name,
+                service=record.service,
+                address=record.address,
+                data_centre=record.data_centre,
+                state=record.state.value,
+                cold_s=record.cold_s,
+            )
+
+    def _remove(self, name: str, now_s: float) -> None:
+        until_s = self._missing_until.get(name, self._grace_until_s)
+        if now_s < until_s:
+            self._missing_until[name] = until_s
+            decisions.log('target_lapsed', target=name)
+            return
+        self._missing_until.pop(name, None)
+        record = self._targets.pop(name)
+        self._seen_s.pop(record.incarnation, None)
+        decisions.log('target_gone', target=name)
+
+
+def _by_host(
+    routes: tuple[model.Route, ...],
+) -> dict[str, list[model.Route]]:
+    """Return the routes of each host, longest prefix first."""
+    result: dict[str, list[model.Route]] = {}
+    for route in routes:
+        result.setdefault(route.host.lower(), []).append(route)
+    for found in result.values():
+        found.sort(key=lambda route: -len(route.prefix))
+    return result
--- /dev/null
+++ b/src/wagtailhollow/internal/entry/direct/__init__.py
@@ -0,0 +1,1 @@
+"""The entry that calls targets itself, without an agent in between."""
--- /dev/null
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -0,0 +1,268 @@
+"""The callers' side of an entry that calls targets itself."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any, Protocol
+
+from absl import logging
+
+from .... import errors
+from ...directory import model, state
+from ...http1 import connection
+from ...observability import decisions
+from ...platform import headers
+from ...table import model as table_model
+from .. import calls, requests
+from . import attempts, freshness, routed
+from . import sink as sink_module
+
+Receive = Callable[[], Awaitable[Mapping[str, Any]]]
+
+ROUTING_POLICY = 'least_loaded'
+START_RETRY_S = 0.5
+"""Retry-After of an entry without a configuration: it reads one in about
+half a second once the store answers."""
+
+
+class Admission(Protocol):
+    """Decides when a call may look for a target."""
+
+    def admit(self, call: routed.RoutedCall) -> Any:
+        """Return an async context manager that holds a place."""
+
+
+class RoutedApp:
+    """ASGI application for calls on the routes in force."""
+
+    def __init__(
+        self,
+        directory: state.Directory,
+        fresh: freshness.Freshness,
+        handler: calls.CallHandler,
+        admission: Admission,
+    ) -> None:
+        self._directory = directory
+        self._fresh = fresh
+        self._handler = handler
+        self._admission = admission
+        self.draining = False
+        self.in_progress = 0
+
+    async def __call__(
+        self,
+        scope: requests.Scope,
+        receive: Receive,
+        send: sink_module.Send,
+    ) -> None:
+        """Serve one request."""
+        rows = scope['headers']
+        request_id = _first(rows, headers.REQUEST_ID)
+        sink = sink_module.DirectSink(
+            send,
+            request_id,
+            _first(rows, headers.LAST_EVENT_ID),
+            lambda: self.draining,
+        )
+        self.in_progress += 1
+        call = None
+        try:
+            call = await self._call(scope, receive, request_id.decode())
+            await self._serve(call, receive, sink)
+            result = 'ok'
+        except errors.Refusal as exc:
+            result = exc.kind.value
+            self._log_refusal(request_id, call, exc)
+            await sink.refuse(exc, call and call.execution)
+        except ConnectionError:
+            result = 'caller_left'
+        except Exception:
+            logging.exception('call %s failed', request_id)
+            result = errors.ErrorKind.INTERNAL.value
+            await sink.refuse(
+                errors.Refusal(errors.ErrorKind.INTERNAL, 'the entry failed'),
+                call and call.execution,
+            )
+        finally:
+            self.in_progress -= 1
+        if call is not None:
+            sink.count(call, result)
+            decisions.log(
+                'call',
+                request_id=call.call_id,
+                route=call.route.name,
+                organisation=call.organisation,
+                result=result,
+                status=sink.status,
+                events=sink.position.events,
+                took_s=round(time.monotonic() - call.arrived_s, 3),
+            )
+
+    def _log_refusal(
+        self,
+        request_id: bytes,
+        call: routed.RoutedCall | None,
+        exc: errors.Refusal,
+    ) -> None:
+        manifest = self._directory.manifest
+        decisions.log(
+            'refused',
+            request_id=request_id.decode('latin-1'),
+            kind=exc.kind.value,
+            reason=exc.message,
+            retry_after_s=exc.retry_after_s,
+            may_have_run=bool(call and call.execution.may_have_run),
+            manifest=manifest.version if manifest else None,
+            manifest_age_s=round(min(self._fresh.age_s(), 1e6), 2),
+        )
+
+    async def _call(
+        self, scope: requests.Scope, receive: Receive, call_id: str
+    ) -> routed.RoutedCall:
+        manifest = self._directory.manifest
+        if manifest is None:
+            raise errors.Refusal(
+                errors.ErrorKind.NOT_READY,
+                'the configuration was not read yet',
+                retry_after_s=START_RETRY_S,
+            )
+        rows = scope['headers']
+        route = self._route(scope)
+        organisation = self._organisation(manifest, route, rows)
+        body = await _read_body(receive, manifest.limits.max_body_bytes)
+        tokens = _first(rows, headers.TOKENS).split(b',')
+        prompt, longest = (
+            (int(part) for part in tokens)
+            if len(tokens) == 2 and all(p.strip().isdigit() for p in tokens)
+            else (0, 0)
+        )
+        hint = _first(rows, headers.LENGTH_HINT)
+        deadline = _first(rows, headers.DEADLINE)
+        allowed_s = route.timeout_s
+        if deadline.isdigit():
+            allowed_s = min(allowed_s, int(deadline) / 1000)
+        service_name = _choose_service(route)
+        return routed.RoutedCall(
+            call_id=call_id,
+            organisation=organisation.name if organisation else '',
+            service_name=service_name,
+            service=table_model.Service(routing=ROUTING_POLICY),
+            method=scope['method'],
+            path=scope['path'],
+            headers={},
+            body=body,
+            idempotency_key=None,
+            must_not_repeat=not route.may_repeat,
+            tokens=prompt + longest,
+            prefix='',
+            deadline_s=time.monotonic() + allowed_s,
+            max_attempts=route.max_attempts,
+            route=route,
+            sent_headers=attempts.forwarded(rows),
+            target_path=_target_path(scope),
+            prompt_tokens=prompt,
+            answer_tokens=(
+                min(int(hint), longest) if hint.isdigit() else longest
+            ),
+            last_event_id=_first(rows, headers.LAST_EVENT_ID),
+            has_key=organisation is not None,
+        )
+
+    def _route(self, scope: requests.Scope) -> model.Route:
+        host = _first(scope['headers'], b'host').decode('latin-1')
+        path = scope['raw_path'].decode('latin-1')
+        route = self._directory.route(host, path)
+        if route is None and ':' in host:
+            route = self._directory.route(host.rpartition(':')[0], path)
+        if route is None:
+            self._fresh.require_newest('no route for the path is known')
+            raise errors.Refusal(
+                errors.ErrorKind.UNKNOWN_SERVICE,
+                f'no route of {requests.echo(host)} serves '
+                f'{requests.echo(path)}',
+            )
+        return route
+
+    def _organisation(
+        self,
+        manifest: model.Manifest,
+        route: model.Route,
+        rows: connection.Headers,
+    ) -> model.Organisation | None:
+        if manifest.organisations is None or route.is_public:
+            return None
+        self._fresh.require_for_keys()
+        key = _first(rows, headers.KEY).decode('latin-1')
+        organisation = manifest.organisations.get(key)
+        if organisation is None:
+            self._fresh.require_newest('the key is not known')
+            raise errors.Refusal(
+                errors.ErrorKind.UNAUTHENTICATED,
+                'the key of the request is not known',
+            )
+        return organisation
+
+    async def _serve(
+        self,
+        call: routed.RoutedCall,
+        receive: Receive,
+        sink: sink_module.DirectSink,
+    ) -> None:
+        work = asyncio.create_task(self._admitted(call, sink))
+        leave = asyncio.create_task(_wait_for_disconnect(receive))
+        try:
+            await asyncio.wait(
+                (work, leave), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done():
+                work.cancel()
+                await asyncio.gather(work, return_exceptions=True)
+                raise ConnectionAbortedError('the caller left')
+            await work
+        finally:
+            leave.cancel()
+
+    async def _admitted(
+        self, call: routed.RoutedCall, sink: sink_module.DirectSink
+    ) -> None:
+        async with self._admission.admit(call):
+            await self._handler.handle(call, sink)
+
+
+def _first(rows: connection.Headers, name: bytes) -> bytes:
+    return next((value for key, value in rows if key == name), b'')
+
+
+def _target_path(scope: requests.Scope) -> bytes:
+    query = scope['query_string']
+    return scope['raw_path'] + (b'?' + query if query else b'')
+
+
+def _choose_service(route: model.Route) -> str:
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    return random.choices(
+        [share.service for share in route.shares],
+        [max(share.weight, 0.0) for share in route.shares],
+    )[0]
+
+
+async def _read_body(receive: Receive, limit: int) -> bytes:
+    body = b''
+    while True:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise ConnectionAbortedError('the caller left')
+        body += message.get('body', b'')
+        if len(body) > limit:
+            raise requests.body_too_large(limit)
+        if not message.get('more_body', False):
+            return body
+
+
+async def _wait_for_disconnect(receive: Receive) -> None:
+    while (await receive())['type'] != 'http.disconnect':
+        pass
--- /dev/null
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -0,0 +1,184 @@
+"""Composition root of the entry on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+
+from starlette import routing
+
+from ...daemon import http, lifecycle
+from ...directory import follow, state
+from ...hostcfg import model as hostcfg
+from ...http1 import pool
+from ...observability import decisions
+from ...platform import manifest, store
+from ...platform import targets as registrations
+from ...retries import budget
+from ...routing import least_loaded
+from ...settings import schema
+from .. import calls, http_protocol
+from . import app, attempts, freshness, routed, targets
+
+_POLICIES = (least_loaded,)
+
+MANIFEST_WAIT_S = 1.5
+"""A watch that returns proves the manifest's age, which has to stay well
+under the 5 s after which withdrawn keys must not be served."""
+
+OTHER_WAIT_S = 2.5
+"""A watch that went silent is noticed after this and the call's time-out."""
+
+MAX_CONNECTIONS = 900
+"""Of 1,535 descriptors 200 are kept for files; the rest goes to targets."""
+
+ROTATION_S = 3.2
+"""The balancer takes an entry out after two checks, a second apart; callers
+on open connections leave with the answer to their next request."""
+
+STOP_MARGIN_S = 0.7
+MAX_WAIT_S = 6.0
+"""Longest wait of one call for a target; its own deadline is shorter."""
+
+EXPECTED_ENTRIES = 8
+"""Entries that share the retry budget while their number is not known."""
+
+
+class OpenAdmission:
+    """Lets every call look for a target at once."""
+
+    @contextlib.asynccontextmanager
+    async def admit(self, call: routed.RoutedCall) -> AsyncIterator[None]:
+        """Hold nothing while the call runs."""
+        yield
+
+
+class DirectEntry:
+    """The entry daemon; wires its parts and runs them."""
+
+    def __init__(self, cfg: hostcfg.HostSettings) -> None:
+        self._cfg = cfg
+        client = store.StoreClient(cfg.store_address)
+        self._directory = state.Directory()
+        self._followers = (
+            follow.Follower(
+                'manifest',
+                store.ObjectSource(client, manifest.KIND, manifest.decode),
+                self._directory.apply_manifest,
+                MANIFEST_WAIT_S,
+            ),
+            follow.Follower(
+                'targets',
+                store.ObjectSource(
+                    client, registrations.KIND, registrations.decode
+                ),
+                self._directory.apply_targets,
+                OTHER_WAIT_S,
+            ),
+            follow.Follower(
+                'withdrawals',
+                store.ObjectSource(
+                    client,
+                    manifest.WITHDRAWALS_KIND,
+                    manifest.decode_withdrawal,
+                ),
+                self._directory.apply_withdrawals,
+                OTHER_WAIT_S,
+            ),
+        )
+        self._fresh = freshness.Freshness(
+            self._followers[0].age_s,
+            cfg.bounds.revoke_s,
+            cfg.bounds.is_revocation_strict,
+        )
+        self._connections = pool.ConnectionPool()
+        self._directory.on_targets.append(self._targets_changed)
+        self._targets = targets.DirectTargets(self._directory, cfg.data_centre)
+        handler = calls.CallHandler(
+            attempts.EngineRunner(
+                self._connections, self._targets, self._check
+            ),
+            self._targets,
+            None,
+            MAX_WAIT_S,
+            calls.RetryRules(
+                max_rejections=3,
+                do_rejections_spend=True,
+                new_budget=self._new_budget,
+            ),
+        )
+        self._app = app.RoutedApp(
+            self._directory, self._fresh, handler, OpenAdmission()
+        )
+        limits = schema.RequestLimits(
+            max_connections=MAX_CONNECTIONS, body_timeout_s=15.0
+        )
+        self._callers = http.HttpServer(
+            [routing.Mount('/', self._app)],
+            cfg.callers_address,
+            protocol=http_protocol.bounded_protocol(limits, self._app),
+        )
+        self._operators = http.HttpServer(
+            http.operator_routes(self._not_ready_reason),
+            cfg.readiness_address,
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """See :class:`lifecycle.Daemon`."""
+        self._tasks = [
+            lifecycle.background(follower.run())
+            for follower in self._followers
+        ]
+        await self._operators.start()
+        await self._callers.start()
+        decisions.log('started', address=self._cfg.callers_address)
+
+    async def drain(self) -> None:
+        """See :class:`lifecycle.Daemon`."""
+        self._app.draining = True
+        decisions.log('draining', in_progress=self._app.in_progress)
+        end_s = time.monotonic() + self._cfg.bounds.grace_s - STOP_MARGIN_S
+        await asyncio.sleep(ROTATION_S)
+        while self._app.in_progress and time.monotonic() < end_s:
+            await asyncio.sleep(0.05)
+        await self._callers.flush()
+
+    async def stop(self) -> None:
+        """See :class:`lifecycle.Daemon`."""
+        decisions.log('stopping', in_progress=self._app.in_progress)
+        for task in self._tasks:
+            task.cancel()
+        await self._callers.stop()
+        await self._operators.stop()
+
+    def _not_ready_reason(self) -> str | None:
+        if self._app.draining:
+            return 'draining'
+        if self._directory.manifest is None:
+            return 'no configuration yet'
+        if not self._directory.all_targets():
+            return 'no targets yet'
+        if not self._fresh.may_accept_keys:
+            return 'the configuration may be outdated'
+        return None
+
+    def _check(self, call: routed.RoutedCall) -> None:
+        """Raise Refusal if the call must not reach a target any more."""
+        if call.has_key:
+            self._fresh.require_for_keys()
+
+    def _targets_changed(self) -> None:
+        self._connections.keep_only(
+            {item.incarnation for item in self._directory.all_targets()}
+        )
+
+    def _new_budget(self) -> budget.RetryPolicy:
+        bounds = self._cfg.bounds
+        slack_per_s = bounds.retry_slack / bounds.retry_window_s
+        return budget.RetryBudget(
+            ratio=bounds.retry_ratio / 2,
+            min_per_s=slack_per_s / 2 / EXPECTED_ENTRIES,
+        )
--- /dev/null
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -0,0 +1,133 @@
+"""The targets that an entry calls itself, and their load."""
+
+from __future__ import annotations
+
+import collections
+import time
+from collections.abc import Callable
+
+from ...directory import model, state
+from ...observability import decisions
+from ...routing import policy
+from ..attempt import Attempt, AttemptFailed, Phase
+from . import routed
+
+AVOID_S = 1.0
+"""How long a target that failed is avoided when others are there."""
+
+MAX_REPORT_AGE_S = 1.5
+"""Loads reported longer ago say nothing about a queue of the present."""
+
+
+class DirectTargets:
+    """Targets by their registrations, with what is known of their load."""
+
+    def __init__(
+        self,
+        directory: state.Directory,
+        data_centre: str,
+        sharing: Callable[[], int] = lambda: 1,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Create a view.
+
+        :param sharing: returns how many entries send calls.
+        """
+        self._directory = directory
+        self._data_centre = data_centre
+        self._sharing = sharing
+        self._clock = clock
+        self._outstanding: collections.Counter[str] = collections.Counter()
+        self._reports: dict[str, tuple[float, int, int, int]] = {}
+        self._avoid_until_s: dict[str, float] = {}
+
+    def is_connected(self, call: routed.RoutedCall) -> bool:
+        """See :class:`calls.TargetSource`."""
+        return bool(self._directory.targets(call.service_name))
+
+    def candidates(self, call: routed.RoutedCall) -> list[policy.Candidate]:
+        """See :class:`calls.TargetSource`."""
+        records = self._directory.targets(call.service_name)
+        now_s = self._clock()
+        healthy = [
+            record
+            for record in records
+            if self._avoid_until_s.get(record.name, 0.0) <= now_s
+        ]
+        return [self._candidate(record) for record in healthy or records]
+
+    def attempt(
+        self,
+        call: routed.RoutedCall,
+        candidate: policy.Candidate,
+        number: int,
+        claim: None,
+    ) -> Attempt:
+        """See :class:`calls.TargetSource`."""
+        manifest = self._directory.manifest
+        return Attempt(call, candidate, 0, manifest.version, number, claim)
+
+    def current(self, name: str) -> model.TargetRecord | None:
+        """Return the incarnation that takes calls under a name, or None."""
+        return self._directory.ready(name)
+
+    def started(
+        self, record: model.TargetRecord, call: routed.RoutedCall
+    ) -> None:
+        """Count a call at a target."""
+        self._outstanding[record.name] += 1
+
+    def finished(
+        self, record: model.TargetRecord, call: routed.RoutedCall
+    ) -> None:
+        """End the count of a call at a target."""
+        self._outstanding[record.name] -= 1
+
+    def failed(self, record: model.TargetRecord, exc: AttemptFailed) -> None:
+        """Avoid a target for a while after it failed."""
+        if exc.phase is Phase.REFUSED:
+            pause_s = AVOID_S / 4
+        else:
+            pause_s = AVOID_S
+        self._avoid_until_s[record.name] = self._clock() + pause_s
+        decisions.log(
+            'target_avoided',
+            target=record.name,
+            kind=exc.refusal.kind.value,
+            reason=exc.refusal.message,
+            pause_s=pause_s,
+        )
+
+    def note_load(self, record: model.TargetRecord, value: bytes) -> None:
+        """Take the load that a target put into an answer."""
+        parts = value.split(b',')
+        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
+            running, waiting, _ = (int(part) for part in parts)
+            self.take_report(record.name, running, waiting)
+
+    def take_report(self, name: str, running: int, waiting: int) -> None:
+        """Take a load report that was made now."""
+        self._reports[name] = (
+            self._clock(),
+            running,
+            waiting,
+            self._outstanding[name],
+        )
+
+    def _candidate(self, record: model.TargetRecord) -> policy.Candidate:
+        own = self._outstanding[record.name]
+        made_s, running, waiting, own_then = self._reports.get(
+            record.name, (0.0, 0, 0, 0)
+        )
+        if self._clock() - made_s > MAX_REPORT_AGE_S:
+            running = waiting = own_then = 0
+        return policy.Candidate(
+            target=record.name,
+            address=record.address,
+            data_centre=record.data_centre,
+            outstanding=own,
+            reported_running=running,
+            reported_queued=waiting,
+            sent_since_report=max(own - own_then, -running),
+            cap=record.slots,
+        )
--- /dev/null
+++ b/src/wagtailhollow/internal/platform/headers.py
@@ -0,0 +1,24 @@
+"""Names of the headers that the platform's callers and engines use."""
+
+REQUEST_ID = b'x-request-id'
+DEADLINE = b'x-deadline-ms'
+"""Milliseconds that the sender waits; an engine stops work after them."""
+
+KEY = b'x-key'
+ORGANISATION = b'x-tenant'
+EXPECTED_TARGET = b'x-expect-instance'
+PRIORITY = b'x-request-priority'
+"""0 to 9, 0 is admitted first."""
+
+RECEIPT = b'x-engine-signature'
+NOT_EXECUTED = b'x-not-executed'
+LOAD = b'x-engine-load'
+"""Running, waiting and slots, separated by commas."""
+
+TOKENS = b'x-token-usage'
+"""Prompt tokens and the most output tokens, separated by a comma."""
+
+PROMPT_PARTS = b'x-prompt-prefix'
+LENGTH_HINT = b'x-length-hint'
+LAST_EVENT_ID = b'last-event-id'
+COLD_MS = b'x-cold-ms'
--- /dev/null
+++ b/src/wagtailhollow/internal/platform/settings.py
@@ -0,0 +1,69 @@
+"""Decodes the settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import tomllib
+from collections.abc import Mapping
+from typing import Any
+
+from ..hostcfg import model
+
+PATH_VARIABLE = 'WAGTAILHOLLOW_CONFIG'
+
+
+class SettingsError(Exception):
+    """The settings file is missing or lacks a field."""
+
+
+def path() -> str:
+    """Return the path of the settings file; raises SettingsError."""
+    found = os.environ.get(PATH_VARIABLE, '')
+    if not found:
+        raise SettingsError(f'set {PATH_VARIABLE} to the settings file')
+    return found
+
+
+def load(file: str) -> model.HostSettings:
+    """Read and decode a settings file; raises SettingsError."""
+    try:
+        return decode(tomllib.loads(pathlib.Path(file).read_text()))
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        raise SettingsError(f'{file}: {exc}') from exc
+    except KeyError as exc:
+        raise SettingsError(f'{file}: the field {exc} is missing') from exc
+
+
+def decode(row: Mapping[str, Any]) -> model.HostSettings:
+    """Return the settings; raises KeyError for a missing field."""
+    listen = row.get('listen', {})
+    first, last = row['internal_ports']
+    return model.HostSettings(
+        node=row['node_name'],
+        ip=row['ip'],
+        data_centre=row['zone'],
+        region=row['region'],
+        regions=dict(row.get('zones', {})),
+        store_address=row['platform']['address'],
+        callers_address=listen.get('front', ''),
+        readiness_address=listen.get('readiness', ''),
+        internal_ports=(first, last),
+        target_address=row.get('app', ''),
+        target_service=row.get('service', ''),
+        bounds=_bounds(row['bounds']),
+    )
+
+
+def _bounds(row: Mapping[str, Any]) -> model.Bounds:
+    return model.Bounds(
+        revoke_s=row['revoke_ms'] / 1000,
+        is_revocation_strict=row['strict_revocation'],
+        retry_ratio=row['retry_budget_ratio'],
+        retry_slack=row['retry_budget_slack'],
+        retry_window_s=row['budget_window_s'],
+        cold_factor=row['cold_overage'],
+        cold_slack=row['cold_slack'],
+        grace_s=row['grace_s'],
+        stall_s=row['stall_ms'] / 1000,
+    )
