Add agents that plan and switch expert maps of their group

Cause: with map 0 the most loaded rank has 3.0 times the mean and a pass takes 125 ms, over the 120 ms that a stream may pause. Agents exchange counts, plan few new experts a rank, and switch under a hold with terms between coordinators. Ruled out: the ballots of ranks (experts/switch), which need orders that these engines do not have.

--- /dev/null
+++ b/src/wagtailhollow/cli/direct_agent.py
@@ -0,0 +1,23 @@
+"""``wagtailhollow-direct-agent``: the agent on the users' platform."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+
+from ..internal.agent.direct import compose
+from . import deployed
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the agent; return the exit code."""
+    return deployed.run_daemon(
+        'wagtailhollow-direct-agent',
+        'Reports the load of the engine beside it and changes its expert map.',
+        compose.DirectAgent,
+        argv,
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/src/wagtailhollow/internal/agent/direct/__init__.py
@@ -0,0 +1,1 @@
+"""The agent that only watches its target and changes its expert map."""
--- /dev/null
+++ b/src/wagtailhollow/internal/agent/direct/compose.py
@@ -0,0 +1,235 @@
+"""Composition root of the agent on the users' platform.
+
+Entries call targets themselves, so this agent carries no calls: it reports
+the load of the engine beside it and, with the other agents of the group,
+keeps its expert map fitting.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from ...daemon import lifecycle
+from ...datagram import endpoint, messages
+from ...directory import changes, model
+from ...experts import paced, planner
+from ...experts.live import coordinator, demand, packing, rank
+from ...experts.live import model as live
+from ...hostcfg import model as hostcfg
+from ...observability import decisions
+from ...platform import engine, manifest, store
+from ...platform import targets as registrations
+
+_PLANNERS = (paced,)
+
+IDLE_PERIOD_S = 0.1
+BUSY_PERIOD_S = 0.02
+"""Period of reports while the coordinator waits for the ranks."""
+
+PICKS_PERIOD_S = 0.12
+LISTING_PERIOD_S = 5.0
+FIRST_LISTING_PERIOD_S = 1.0
+"""Peers change rarely; stale listings cost a tenth of a call."""
+
+SUBSCRIPTION_S = 3.0
+REPORT_PERIOD_S = 0.15
+REMOTE_TIMEOUT_S = 0.15
+"""As for the own engine, and the way to another data centre and back."""
+
+NEW_EXPERTS_PER_RANK = 4
+"""New weights of a rank in one plan: they arrive in 0.6 s."""
+
+
+class DirectAgent:
+    """The agent daemon; wires its parts and runs them."""
+
+    def __init__(self, cfg: hostcfg.HostSettings) -> None:
+        self._cfg = cfg
+        self._port = cfg.internal_ports[0]
+        client = store.StoreClient(cfg.store_address)
+        self._targets = store.ObjectSource(
+            client, registrations.KIND, registrations.decode, is_stale=True
+        )
+        self._manifests = store.ObjectSource(
+            client, manifest.KIND, manifest.decode, is_stale=True
+        )
+        self._engine = engine.EngineClient(cfg.target_address)
+        self._driver = rank.RankDriver(self._engine)
+        self._demand = demand.RecentDemand()
+        self._view = coordinator.GroupView()
+        self._endpoint = endpoint.Endpoint(messages.ALL)
+        self._endpoint.on(messages.RankStatus, self._heard_status)
+        self._endpoint.on(messages.Intent, self._heard_intent)
+        self._endpoint.on(messages.Subscribe, self._heard_entry)
+        self._coordinator = coordinator.Coordinator(
+            self._driver,
+            self._view,
+            self,
+            lambda address: engine.EngineClient(address, REMOTE_TIMEOUT_S),
+            planner.PLANNERS['paced'](
+                planner.Costs(spare_slots=NEW_EXPERTS_PER_RANK)
+            ),
+            self._layout,
+        )
+        self._records: dict[str, model.TargetRecord] = {}
+        self._service: model.Service | None = None
+        self._entries: dict[str, float] = {}
+        self._wake = asyncio.Event()
+        self._busy_until_s = 0.0
+        self._picked_s = 0.0
+        self._reported_s = 0.0
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """See :class:`lifecycle.Daemon`."""
+        await self._endpoint.open(self._cfg.ip, self._port)
+        self._tasks = [
+            lifecycle.background(self._list_peers()),
+            lifecycle.background(self._watch_engine()),
+            lifecycle.background(self._coordinator.run()),
+        ]
+        decisions.log('started', target=self._cfg.target_address)
+
+    async def drain(self) -> None:
+        """See :class:`lifecycle.Daemon`; calls do not run through here."""
+        decisions.log('draining')
+
+    async def stop(self) -> None:
+        """See :class:`lifecycle.Daemon`."""
+        for task in self._tasks:
+            task.cancel()
+        self._endpoint.close()
+        self._engine.close()
+        decisions.log('stopping')
+
+    def publish(self, intent: messages.Intent) -> None:
+        """See :class:`coordinator.Messenger`."""
+        self._driver.take(intent)
+        for ip in self._peer_ips():
+            self._endpoint.send(intent, ip, self._port)
+        self._hurry()
+
+    def _layout(self) -> tuple[int, int] | None:
+        service = self._service
+        if service is None or service.engine is None:
+            return None
+        experts = service.engine.experts
+        return (experts.layers, experts.places) if experts else None
+
+    def _peer_ips(self) -> set[str]:
+        """Return the hosts of the other agents of the service."""
+        ips = {
+            record.address.rpartition(':')[0]
+            for record in self._records.values()
+            if record.service == self._cfg.target_service
+        }
+        return ips - {self._cfg.ip}
+
+    def _hurry(self) -> None:
+        self._busy_until_s = time.monotonic() + 0.3
+        self._wake.set()
+
+    def _heard_status(self, status: messages.RankStatus, ip: str) -> None:
+        report = self._driver.report
+        if report is not None and status.group == report.group:
+            self._view.take(status)
+
+    def _heard_intent(self, intent: messages.Intent, ip: str) -> None:
+        report = self._driver.report
+        if report is None or intent.group != report.group:
+            return
+        if self._driver.take(intent):
+            self._hurry()
+
+    def _heard_entry(self, message: messages.Subscribe, ip: str) -> None:
+        self._entries[ip] = time.monotonic() + SUBSCRIPTION_S
+
+    async def _list_peers(self) -> None:
+        while True:
+            period_s = FIRST_LISTING_PERIOD_S
+            try:
+                listing = await self._targets.read()
+                self._records = dict(listing.documents)
+                if self._service is None:
+                    found = await self._manifests.read()
+                    for item in found.documents.values():
+                        self._service = item.services.get(
+                            self._cfg.target_service
+                        )
+                report = self._driver.report
+                if (
+                    report is not None
+                    and self._service is not None
+                    and len(self._peer_ips()) + 1 >= report.size
+                ):
+                    period_s = LISTING_PERIOD_S
+            except changes.SourceUnavailable as exc:
+                decisions.log('store_lost', reason=str(exc))
+            await asyncio.sleep(period_s)
+
+    async def _watch_engine(self) -> None:
+        while True:
+            try:
+                await self._driver.tick()
+                await self._read_picks()
+                self._send_status()
+                self._send_load()
+            except live.EngineSilent as exc:
+                if self._driver.report is not None:
+                    decisions.log('engine_silent', reason=str(exc))
+                self._driver.report = None
+            except (KeyError, TypeError, ValueError) as exc:
+                decisions.log('engine_unreadable', reason=repr(exc))
+                self._driver.report = None
+            is_busy = time.monotonic() < self._busy_until_s
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(
+                    BUSY_PERIOD_S if is_busy else IDLE_PERIOD_S
+                ):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _read_picks(self) -> None:
+        report = self._driver.report
+        now_s = time.monotonic()
+        if report is None or now_s - self._picked_s < PICKS_PERIOD_S:
+            return
+        self._picked_s = now_s
+        picks = await self._engine.picks()
+        self._demand.add(now_s, report.born_ms, picks)
+
+    def _send_status(self) -> None:
+        status = self._driver.status()
+        if status is None:
+            return
+        status.address = self._cfg.target_address
+        status.demand = packing.pack_counts(self._demand.counts())
+        self._view.take(status)
+        for ip in self._peer_ips():
+            self._endpoint.send(status, ip, self._port)
+
+    def _send_load(self) -> None:
+        report = self._driver.report
+        now_s = time.monotonic()
+        if report is None or now_s - self._reported_s < REPORT_PERIOD_S:
+            return
+        self._reported_s = now_s
+        self._entries = {
+            ip: until_s
+            for ip, until_s in self._entries.items()
+            if until_s > now_s
+        }
+        message = messages.LoadReport(
+            target=self._cfg.target_address,
+            running=report.running,
+            waiting=report.waiting,
+            entries=len(self._entries),
+            is_open=report.is_open,
+            step=report.step,
+            memory_used=report.memory_used,
+        )
+        for ip in self._entries:
+            self._endpoint.send(message, ip, self._port)
--- /dev/null
+++ b/src/wagtailhollow/internal/datagram/__init__.py
@@ -0,0 +1,1 @@
+"""Small messages between hosts that are repeated rather than confirmed."""
--- /dev/null
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -0,0 +1,483 @@
+"""Plans the map of one group and switches all ranks to it together.
+
+The agent of the lowest rank that is heard coordinates. A coordinator first
+gets the promise of every rank to obey no lower term, then brings what an
+earlier one left behind to an end, and only then plans:
+
+* if all ranks are armed for the same step, that switch is completed: the
+  earlier coordinator may have released the step already;
+* otherwise nobody can have released it, so all ranks are disarmed and given
+  a new version, after which a late order to arm is refused; then whatever is
+  held is released.
+
+A rank whose agent is not heard is driven from here, at the engine itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import time
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from ...datagram import messages
+from ...observability import decisions
+from .. import observation, placement, planner
+from . import demand, model, packing, rank
+
+HEARD_S = 0.7
+"""Silence after which an agent counts as lost: seven periods of its status."""
+
+TICK_S = 0.1
+REPEAT_S = 0.05
+"""Period of intents and direct orders while ranks have to follow."""
+
+HOLD_MARGIN_S = 0.06
+"""Time for all ranks to be armed before the held step begins: a message each
+way and an order, about 20 ms, with one repetition."""
+
+MIN_MARGIN_STEPS = 2
+PREPARE_TIMEOUT_S = 2.5
+"""Four weights of 0.15 s, and orders that have to be repeated."""
+
+HOLD_TIMEOUT_S = 0.3
+ARM_TIMEOUT_S = 1.0
+"""Below the 1.5 s after which a stalled engine ends its work."""
+
+RESOLVE_TIMEOUT_S = 1.0
+TERM_STEP = 256
+"""Terms of different ranks differ; a group has at most 256 ranks."""
+
+Status = messages.RankStatus
+
+
+class Interrupted(Exception):
+    """Another agent coordinates, or the group formed anew."""
+
+
+class Messenger(Protocol):
+    """Sends intents to the agents of a group."""
+
+    def publish(self, intent: messages.Intent) -> None:
+        """Send an intent to all agents of the group."""
+
+
+class GroupView:
+    """Last statuses of the ranks of the own group."""
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+        self._clock = clock
+        self._heard: dict[int, tuple[float, Status]] = {}
+        self.changed = asyncio.Event()
+        self.addresses: dict[int, str] = {}
+
+    def take(self, status: Status) -> None:
+        """Store a status that arrived now."""
+        self._heard[status.rank] = (self._clock(), status)
+        if status.address:
+            self.addresses[status.rank] = status.address
+        self.changed.set()
+
+    def fresh(self, own: Status) -> dict[int, Status]:
+        """Return the ranks of the group that were heard lately."""
+        now_s = self._clock()
+        found = {
+            number: status
+            for number, (heard_s, status) in self._heard.items()
+            if now_s - heard_s <= HEARD_S and status.group == own.group
+        }
+        return found | {own.rank: own}
+
+    def highest_term(self) -> int:
+        """Return the highest term that any rank promised."""
+        return max(
+            (status.term for _, status in self._heard.values()), default=0
+        )
+
+
+class Coordinator:
+    """Coordinates the group of one rank for as long as it is its turn."""
+
+    def __init__(
+        self,
+        own: rank.RankDriver,
+        view: GroupView,
+        messenger: Messenger,
+        engine_at: Callable[[str], model.RankEngine],
+        plans: planner.Planner,
+        layout: Callable[[], tuple[int, int] | None],
+    ) -> None:
+        """Create a coordinator.
+
+        :param engine_at: returns the engine at an address.
+        :param layout: returns layers and places of the service, or None.
+        """
+        self._own = own
+        self._view = view
+        self._messenger = messenger
+        self._engine_at = engine_at
+        self._plans = plans
+        self._layout = layout
+        self._intent: messages.Intent | None = None
+        self._direct: dict[int, rank.RankDriver] = {}
+        self._highest_version = 0
+        self._epoch: tuple[str, int] | None = None
+        self.skew = 0.0
+
+    async def run(self) -> None:
+        """Coordinate for ever."""
+        while True:
+            try:
+                await asyncio.sleep(TICK_S)
+                if self._leads():
+                    await self._lead()
+            except Interrupted as exc:
+                self._intent = None
+                decisions.log('coordination_ended', reason=str(exc))
+
+    def _own_status(self) -> Status | None:
+        return self._own.status()
+
+    def _leads(self) -> bool:
+        own = self._own_status()
+        if own is None or not own.is_open:
+            return False
+        return min(self._view.fresh(own)) == own.rank
+
+    async def _lead(self) -> None:
+        own = self._own_status()
+        self._epoch = (own.group, own.epoch)
+        highest = max(self._view.highest_term(), self._own.term)
+        term = (highest // TERM_STEP + 1) * TERM_STEP + own.rank
+        decisions.log(
+            'coordination_begins',
+            group=own.group,
+            epoch=own.epoch,
+            rank=own.rank,
+            term=term,
+            heard=sorted(self._view.fresh(own)),
+        )
+        self._intent = messages.Intent(
+            term=term, group=own.group, epoch=own.epoch
+        )
+        while not await self._until(_has_any, RESOLVE_TIMEOUT_S):
+            pass
+        while True:
+            statuses = self._statuses()
+            if len(statuses) == own.size and any(
+                map(_is_unfinished, statuses.values())
+            ):
+                await self._resolve()
+            elif len(statuses) == own.size:
+                await self._improve(statuses)
+            await self._until(lambda _: False, TICK_S)
+
+    async def _until(
+        self,
+        reached: Callable[[Status], bool],
+        timeout_s: float,
+        give_up: Callable[[Status], bool] = lambda _: False,
+    ) -> bool:
+        """Wait until all ranks reached a state; return whether they did.
+
+        :raises Interrupted: this agent must not go on.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + timeout_s
+        next_send_s = 0.0
+        while True:
+            self._check()
+            statuses = self._statuses()
+            size = self._own_status().size
+            if len(statuses) == size and all(map(reached, statuses.values())):
+                return True
+            if any(map(give_up, statuses.values())):
+                return False
+            now_s = loop.time()
+            if now_s >= end_s:
+                return False
+            if now_s >= next_send_s:
+                next_send_s = now_s + REPEAT_S
+                self._messenger.publish(self._intent)
+                await self._drive_missing()
+            self._view.changed.clear()
+            try:
+                async with asyncio.timeout(
+                    max(0.001, min(end_s, next_send_s) - loop.time())
+                ):
+                    await self._view.changed.wait()
+            except TimeoutError:
+                continue
+
+    def _check(self) -> None:
+        own = self._own_status()
+        if (own.group, own.epoch) != self._epoch or not own.is_open:
+            raise Interrupted('the group formed anew')
+        if self._own.term > self._intent.term:
+            raise Interrupted('a later term was promised')
+        if min(self._view.fresh(own)) != own.rank:
+            raise Interrupted('a lower rank is back')
+
+    def _statuses(self) -> dict[int, Status]:
+        """Return the ranks that obey the present term."""
+        own = self._own_status()
+        heard = self._view.fresh(own)
+        found = {
+            number: driver.status()
+            for number, driver in self._direct.items()
+            if number not in heard and driver.status() is not None
+        } | heard
+        return {
+            number: status
+            for number, status in found.items()
+            if status.epoch == own.epoch and status.term == self._intent.term
+        }
+
+    async def _drive_missing(self) -> None:
+        """Drive the ranks whose agents are not heard."""
+        own = self._own_status()
+        heard = self._view.fresh(own)
+        missing = {
+            number: address
+            for number, address in self._view.addresses.items()
+            if number not in heard
+        }
+        for number in self._direct.keys() - missing.keys():
+            del self._direct[number]
+        if missing:
+            await asyncio.gather(
+                *(self._drive(*item) for item in missing.items())
+            )
+
+    async def _drive(self, number: int, address: str) -> None:
+        if number not in self._direct:
+            decisions.log('rank_driven', rank=number, address=address)
+            self._direct[number] = rank.RankDriver(self._engine_at(address))
+        driver = self._direct[number]
+        driver.take(self._intent)
+        try:
+            await driver.tick()
+        except model.EngineSilent as exc:
+            driver.report = None
+            decisions.log('engine_silent', rank=number, reason=str(exc))
+
+    def _want(self, phase: model.Phase, **fields: object) -> None:
+        intent = messages.Intent(
+            term=self._intent.term,
+            group=self._intent.group,
+            epoch=self._intent.epoch,
+            phase=int(phase),
+            **fields,
+        )
+        self._intent = intent
+        if not self._own.take(intent):
+            self._check()
+
+    def _new_version(self, statuses: Mapping[int, Status]) -> int:
+        """Return a version above all that the ranks are known to have had."""
+        seen = max(
+            max(s.prepared, s.map_version, s.armed_version, s.refused_version)
+            for s in statuses.values()
+        )
+        # A restarted agent does not know the versions that it ordered; the
+        # time in tenths of a second is above them.
+        now = int(time.time() * 10)
+        self._highest_version = max(self._highest_version, seen, now) + 1
+        return self._highest_version
+
+    async def _resolve(self) -> None:
+        """End a switch that was begun earlier."""
+        statuses = self._statuses()
+        armed = {(s.armed_version, s.armed_step) for s in statuses.values()}
+        held = [s for s in statuses.values() if s.held_step != messages.NONE]
+        decisions.log(
+            'switch_resolved',
+            group=self._intent.group,
+            term=self._intent.term,
+            armed=sorted(armed),
+            held=[(s.rank, s.held_step) for s in held],
+        )
+        if len(armed) > 1 or armed == {(messages.NONE, messages.NONE)}:
+            await self._abort()
+            return
+        ((_, step),) = armed
+        await self._release(step)
+
+    async def _abort(self) -> None:
+        """Disarm all ranks, make late orders harmless, release the group."""
+        while True:
+            statuses = self._statuses()
+            if len(statuses) < self._own_status().size:
+                # Without every rank nothing can be released safely.
+                await self._until(_has_any, RESOLVE_TIMEOUT_S)
+                continue
+            version = self._new_version(statuses)
+            current = [statuses[n].experts for n in sorted(statuses)]
+            self._want(
+                model.Phase.ABORT,
+                version=version,
+                experts=bytes((len(current),)) + b''.join(current),
+            )
+            if await self._until(
+                lambda s, v=version: (
+                    s.prepared == v and s.armed_version == messages.NONE
+                ),
+                RESOLVE_TIMEOUT_S,
+                lambda s, v=version: s.refused_version == v,
+            ):
+                break
+        for step in {
+            s.held_step
+            for s in self._statuses().values()
+            if s.held_step != messages.NONE
+        }:
+            await self._release(step)
+
+    async def _release(self, step: int) -> None:
+        self._want(model.Phase.RELEASE, step=step)
+        while not await self._until(
+            lambda s: s.held_step != step, RESOLVE_TIMEOUT_S
+        ):
+            decisions.log('release_unconfirmed', step=step)
+
+    async def _improve(self, statuses: Mapping[int, Status]) -> None:
+        """Plan, and switch if it pays."""
+        plan = self._plan(statuses)
+        if plan is None:
+            return
+        version = self._new_version(statuses)
+        experts = _by_rank(plan.placement)
+        began_s = time.monotonic()
+        self._want(
+            model.Phase.PREPARE,
+            version=version,
+            experts=packing.pack_map(experts),
+        )
+        is_prepared = await self._until(
+            lambda s: s.prepared == version,
+            PREPARE_TIMEOUT_S,
+            lambda s: s.refused_version == version,
+        )
+        prepared_s = time.monotonic()
+        if is_prepared:
+            await self._switch(version)
+        self._want(model.Phase.IDLE)
+        decisions.log(
+            'switch',
+            group=self._intent.group,
+            version=version,
+            skew=round(self.skew, 3),
+            moves=plan.moves,
+            is_prepared=is_prepared,
+            prepare_s=round(prepared_s - began_s, 3),
+            switch_s=round(time.monotonic() - prepared_s, 3),
+        )
+
+    async def _switch(self, version: int) -> None:
+        step = self._own_status().step + self._margin_steps()
+        own_rank = self._own_status().rank
+        self._want(model.Phase.HOLD, step=step, holder=own_rank)
+        if not await self._until(
+            lambda s: s.rank != own_rank or s.held_step == step,
+            HOLD_TIMEOUT_S,
+        ):
+            await self._release(step)
+            return
+        self._want(model.Phase.ARM, version=version, step=step)
+        if await self._until(
+            lambda s: (s.armed_version, s.armed_step) == (version, step),
+            ARM_TIMEOUT_S,
+        ):
+            await self._release(step)
+        else:
+            await self._abort()
+
+    def _margin_steps(self) -> int:
+        return MIN_MARGIN_STEPS + math.ceil(HOLD_MARGIN_S / self._pass_s())
+
+    def _pass_s(self) -> float:
+        return 0.06
+
+    def _plan(self, statuses: Mapping[int, Status]) -> planner.Plan | None:
+        layout = self._layout()
+        if layout is None:
+            return None
+        layers, places = layout
+        try:
+            counts = [
+                packing.unpack_counts(status.demand)
+                for status in statuses.values()
+            ]
+            rows = [
+                packing.unpack_rank(statuses[number].experts)
+                for number in sorted(statuses)
+            ]
+        except ValueError as exc:
+            decisions.log('status_unreadable', reason=str(exc))
+            return None
+        seen = demand.total_by_layer(counts, layers)
+        versions = {status.map_version for status in statuses.values()}
+        if (
+            seen is None
+            or len(versions) > 1
+            or any(len(row) != layers for row in rows)
+        ):
+            return None
+        current = _placement(rows, layers, places)
+        self.skew = (
+            sum(
+                layer.skew(row)
+                for layer, row in zip(current.layers, seen, strict=True)
+            )
+            / layers
+        )
+        plan = self._plans.plan(
+            current,
+            observation.Observation(tuple(seen), (None,) * len(rows)),
+            time.monotonic(),
+        )
+        return plan if plan.moves else None
+
+
+def _has_any(status: Status) -> bool:
+    return True
+
+
+def _is_unfinished(status: Status) -> bool:
+    return (
+        status.held_step != messages.NONE
+        or status.armed_version != messages.NONE
+    )
+
+
+def _placement(
+    rows: list[list[list[int]]], layers: int, places: int
+) -> placement.Placement:
+    """Return the placement of experts given by rank and layer."""
+    return placement.Placement(
+        tuple(
+            placement.LayerPlacement(
+                tuple(
+                    (
+                        *row[layer],
+                        *[placement.EMPTY] * (places - len(row[layer])),
+                    )
+                    for row in rows
+                )
+            )
+            for layer in range(layers)
+        )
+    )
+
+
+def _by_rank(new: placement.Placement) -> list[list[list[int]]]:
+    """Return the experts by rank and layer, without empty slots."""
+    ranks = len(new.layers[0].slots)
+    return [
+        [
+            [item for item in layer.slots[number] if item != placement.EMPTY]
+            for layer in new.layers
+        ]
+        for number in range(ranks)
+    ]
--- a/src/wagtailhollow/internal/experts/search.py
+++ b/src/wagtailhollow/internal/experts/search.py
@@ -53,12 +53,15 @@
         self,
         layer: placement.LayerPlacement,
         tokens: Sequence[float],
-        spare_slots: int,
+        spare_slots: int | list[int],
+        hot_slots: int = HOT_SLOTS,
     ) -> None:
         """Prepare a search.
 
         :param spare_slots: changes allowed for each rank, because staged
-            weights need a slot of their own until the switch.
+            weights need a slot of their own until the switch; a list by rank
+            is counted down and may be shared by the layers.
+        :param hot_slots: slots of the fullest rank that are tried.
         """
         self.rows = [list(row) for row in layer.slots]
         self._tokens = tokens
@@ -69,7 +72,12 @@
                     self._holders.setdefault(expert, []).append(rank)
         self.loads = layer.rank_loads(tokens)
         self.mean = sum(self.loads) / len(self.loads) or 1.0
-        self._spare = [spare_slots] * len(self.rows)
+        self._spare = (
+            spare_slots
+            if isinstance(spare_slots, list)
+            else [spare_slots] * len(self.rows)
+        )
+        self._hot_slots = hot_slots
         self._options = 0
 
     def skew(self) -> float:
@@ -100,6 +108,20 @@
             before = after
         return steps
 
+    def improve_once(self, min_gain: float, width: int) -> Step | None:
+        """Apply and return the best step, or None if there is none.
+
+        :param min_gain: least gain for each weight, as a share of the mean.
+        :param width: ranks tried as the other end.
+        """
+        before = self.skew()
+        hot = self.loads.index(max(self.loads))
+        found = self._best(hot, min_gain * self.mean, width)
+        if found is None:
+            return None
+        self._apply(found)
+        return Step(found, before - self.skew())
+
     def _share(self, expert: int, extra: int = 0) -> float:
         if expert == placement.EMPTY:
             return 0.0
@@ -112,7 +134,7 @@
         slots = sorted(
             (slot for slot in range(len(row)) if row[slot] != placement.EMPTY),
             key=lambda slot: -self._share(row[slot]),
-        )[:HOT_SLOTS]
+        )[: self._hot_slots]
         light = heapq.nsmallest(
             width,
             (
--- /dev/null
+++ b/src/wagtailhollow/internal/platform/engine.py
@@ -0,0 +1,160 @@
+"""Questions and orders to an engine: reports, choices of experts, maps."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from ..experts.live import model
+from ..http1 import connection
+
+ANSWER_TIMEOUT_S = 0.06
+"""An engine answers its own host in about 5 ms; an order that it left
+unanswered is not answered later."""
+
+MAX_ANSWER_BYTES = 1024 * 1024
+
+_DONE = (200, 202)
+_OPEN = 'open'
+
+
+class EngineClient:
+    """Calls to one engine; a :class:`model.RankEngine`."""
+
+    def __init__(
+        self, address: str, timeout_s: float = ANSWER_TIMEOUT_S
+    ) -> None:
+        self._address = address
+        self._timeout_s = timeout_s
+        self._conn: connection.HttpConnection | None = None
+
+    async def report(self) -> model.RankReport | None:
+        """See :class:`model.RankEngine`."""
+        row = await self._ask('/report')
+        group = row.get('group')
+        if not group:
+            return None
+        armed = row.get('armed')
+        return model.RankReport(
+            group=group['name'],
+            epoch=group['epoch'],
+            rank=group['rank'],
+            size=row['size'],
+            is_open=group['state'] == _OPEN,
+            step=row['step'],
+            map_version=row['map'],
+            prepared=row['prepared'],
+            armed=(
+                model.Armed(armed['version'], armed['step']) if armed else None
+            ),
+            held_step=row['held'],
+            running=row['running'],
+            waiting=row['queued'],
+            memory_used=row['kv_used'],
+            born_ms=row.get('born', 0),
+        )
+
+    async def picks(self) -> model.Picks:
+        """See :class:`model.RankEngine`."""
+        row = await self._ask('/picked')
+        return model.Picks(row['epoch'], row['counts'])
+
+    async def maps(self) -> model.RankMaps:
+        """See :class:`model.RankEngine`."""
+        row = await self._ask('/picked?lists=1')
+        prepared = row.get('prepared')
+        return model.RankMaps(
+            row['epoch'],
+            row['map']['version'],
+            row['map']['experts'],
+            prepared['version'] if prepared else None,
+        )
+
+    async def prepare(
+        self, epoch: int, version: int, experts: Sequence[model.Layers]
+    ) -> model.OrderResult:
+        """See :class:`model.RankEngine`."""
+        # The platform orders a map by set of layers, then by rank.
+        by_layer = list(zip(*experts, strict=True))
+        return await self._order(
+            'prepare', epoch, version=version, map=by_layer
+        )
+
+    async def arm(
+        self, epoch: int, version: int, step: int
+    ) -> model.OrderResult:
+        """See :class:`model.RankEngine`."""
+        return await self._order('arm', epoch, version=version, step=step)
+
+    async def disarm(self, epoch: int, version: int) -> model.OrderResult:
+        """See :class:`model.RankEngine`."""
+        return await self._order('disarm', epoch, version=version)
+
+    async def hold(self, epoch: int, step: int) -> model.OrderResult:
+        """See :class:`model.RankEngine`."""
+        return await self._order('hold', epoch, step=step)
+
+    async def release(self, epoch: int, step: int) -> model.OrderResult:
+        """See :class:`model.RankEngine`."""
+        return await self._order('go', epoch, step=step)
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._conn is not None:
+            self._conn.close()
+
+    async def _order(
+        self, operation: str, epoch: int, **fields: Any
+    ) -> model.OrderResult:
+        document = {'op': operation, 'epoch': epoch, **fields}
+        body = json.dumps(document, separators=(',', ':')).encode()
+        try:
+            status, _ = await self._call('POST', '/order', body)
+        except connection.ConnectFailed:
+            return model.OrderResult.FAILED
+        except (connection.AnswerLost, TimeoutError):
+            return model.OrderResult.UNKNOWN
+        if status in _DONE:
+            return model.OrderResult.DONE
+        if status == 409:
+            return model.OrderResult.CONFLICT
+        return model.OrderResult.FAILED
+
+    async def _ask(self, path: str) -> Mapping[str, Any]:
+        try:
+            status, body = await self._call('GET', path, b'')
+            if status == 200:
+                return json.loads(body)
+        except (
+            connection.ConnectFailed,
+            connection.AnswerLost,
+            TimeoutError,
+            ValueError,
+        ) as exc:
+            raise model.EngineSilent(f'{path}: {exc!r}') from exc
+        raise model.EngineSilent(f'{path}: status {status}')
+
+    async def _call(
+        self, method: str, path: str, body: bytes
+    ) -> tuple[int, bytes]:
+        rows = [(b'Host', self._address.encode())]
+        if body:
+            rows.append((b'Content-Type', b'application/json'))
+            rows.append((b'Content-Length', str(len(body)).encode()))
+        req = connection.Request(
+            connection.request_head(method, path.encode(), rows), body
+        )
+        if self._conn is None or not self._conn.is_usable:
+            self._conn = await connection.HttpConnection.open(
+                self._address, self._timeout_s
+            )
+        conn = self._conn
+        try:
+            async with asyncio.timeout(self._timeout_s):
+                head = await conn.send(req)
+                return head.status, await conn.read_all(MAX_ANSWER_BYTES)
+        except BaseException:
+            conn.close()
+            raise
--- a/src/wagtailhollow/internal/platform/store.py
+++ b/src/wagtailhollow/internal/platform/store.py
@@ -87,11 +87,21 @@
     """Documents of one kind; a :class:`changes.ChangeSource`."""
 
     def __init__(
-        self, client: StoreClient, kind: str, decode: Decoder[T]
+        self,
+        client: StoreClient,
+        kind: str,
+        decode: Decoder[T],
+        is_stale: bool = False,
     ) -> None:
+        """Create a source.
+
+        :param is_stale: whether listings may be seconds old, which costs a
+            tenth.
+        """
         self._client = client
         self._kind = kind
         self._decode = decode
+        self._stale = {'allow_stale': 1} if is_stale else {}
 
     async def read(self) -> changes.Listing[T]:
         """See :meth:`changes.ChangeSource.read`."""
@@ -99,7 +109,7 @@
         revision = None
         query: dict[str, str | int] = {}
         while True:
-            page = await self._client.get(self._kind, query)
+            page = await self._client.get(self._kind, query | self._stale)
             for item in page.get('items', ()):
                 name, document = self._object(item)
                 if document is not None:
