Send short statuses, details to the coordinator only

A coordinator also waits until a released switch is in effect, and disarms only while the step is held.

--- a/src/wagtailhollow/internal/agent/direct/compose.py
+++ b/src/wagtailhollow/internal/agent/direct/compose.py
@@ -32,6 +32,12 @@
 FIRST_LISTING_PERIOD_S = 1.0
 """Peers change rarely; stale listings cost a tenth of a call."""
 
+PRESENCE_PERIOD_S = 0.25
+"""Three may be lost before an agent counts as lost."""
+
+DETAIL_PERIOD_S = 0.2
+"""Experts and demand, about 500 bytes, go to the coordinator only."""
+
 SUBSCRIPTION_S = 3.0
 REPORT_PERIOD_S = 0.15
 REMOTE_TIMEOUT_S = 0.15
@@ -79,6 +85,9 @@
         self._busy_until_s = 0.0
         self._picked_s = 0.0
         self._reported_s = 0.0
+        self._presence_s = 0.0
+        self._detailed: tuple[int, int, str] | None = None
+        self._detailed_until_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -106,8 +115,7 @@
     def publish(self, intent: messages.Intent) -> None:
         """See :class:`coordinator.Messenger`."""
         self._driver.take(intent)
-        for ip in self._peer_ips():
-            self._endpoint.send(intent, ip, self._port)
+        self._endpoint.send(intent, self._group_ips(), self._port)
         self._hurry()
 
     def _layout(self) -> tuple[int, int] | None:
@@ -126,6 +134,14 @@
         }
         return ips - {self._cfg.ip}
 
+    def _group_ips(self) -> set[str]:
+        """Return the hosts of the group's other agents, all if not known."""
+        report = self._driver.report
+        known = self._view.ips() - {self._cfg.ip}
+        if report is not None and len(known) + 1 >= report.size:
+            return known
+        return self._peer_ips() | known
+
     def _hurry(self) -> None:
         self._busy_until_s = time.monotonic() + 0.3
         self._wake.set()
@@ -206,10 +222,21 @@
         if status is None:
             return
         status.address = self._cfg.target_address
-        status.demand = packing.pack_counts(self._demand.counts())
+        experts, status.experts = status.experts, b''
+        now_s = time.monotonic()
+        if now_s - self._presence_s >= PRESENCE_PERIOD_S:
+            self._presence_s = now_s
+            self._endpoint.send(status, self._group_ips(), self._port)
+        leader = self._view.leader_ip(status)
+        key = (status.epoch, status.map_version, leader)
+        if key != self._detailed or now_s >= self._detailed_until_s:
+            self._detailed = key
+            self._detailed_until_s = now_s + DETAIL_PERIOD_S
+            status.experts = experts
+            status.demand = packing.pack_counts(self._demand.counts())
+        if leader and leader != self._cfg.ip:
+            self._endpoint.send(status, (leader,), self._port)
         self._view.take(status)
-        for ip in self._peer_ips():
-            self._endpoint.send(status, ip, self._port)
 
     def _send_load(self) -> None:
         report = self._driver.report
@@ -231,5 +258,4 @@
             step=report.step,
             memory_used=report.memory_used,
         )
-        for ip in self._entries:
-            self._endpoint.send(message, ip, self._port)
+        self._endpoint.send(message, self._entries, self._port)
--- a/src/wagtailhollow/internal/datagram/endpoint.py
+++ b/src/wagtailhollow/internal/datagram/endpoint.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from absl import logging
@@ -48,15 +48,18 @@
         if self._transport is not None:
             self._transport.close()
 
-    def send(self, message: Any, ip: str, port: int) -> None:
-        """Send a message; it may be lost."""
-        if self._transport is not None:
-            self._transport.sendto(self.encode(message), (ip, port))
+    def send(self, message: Any, ips: Iterable[str], port: int) -> None:
+        """Send a message to some hosts; it may be lost."""
+        if self._transport is None:
+            return
+        data = self.encode(message)
+        for ip in ips:
+            self._transport.sendto(data, (ip, port))
 
     def encode(self, message: Any) -> bytes:
         """Return the bytes of a message."""
         buffer = TTransport.TMemoryBuffer()
-        message.write(TCompactProtocol.TCompactProtocol(buffer))
+        message.write(TCompactProtocol.TCompactProtocolAccelerated(buffer))
         return bytes((self._codes[type(message)],)) + buffer.getvalue()
 
     def decode(self, data: bytes) -> Any:
@@ -66,7 +69,7 @@
         message = self._types[data[0]]()
         buffer = TTransport.TMemoryBuffer(data[1:])
         try:
-            message.read(TCompactProtocol.TCompactProtocol(buffer))
+            message.read(TCompactProtocol.TCompactProtocolAccelerated(buffer))
         except Exception as exc:
             # The library raises whatever its arithmetic runs into.
             raise ValueError(f'unreadable message: {exc!r}') from exc
--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -33,6 +33,9 @@
 REPEAT_S = 0.05
 """Period of intents and direct orders while ranks have to follow."""
 
+PREPARE_REPEAT_S = 0.2
+"""The same while weights arrive; the message has the whole map."""
+
 HOLD_MARGIN_S = 0.06
 """Time for all ranks to be armed before the held step begins: a message each
 way and an order, about 20 ms, with one repetition."""
@@ -73,7 +76,14 @@
         self.addresses: dict[int, str] = {}
 
     def take(self, status: Status) -> None:
-        """Store a status that arrived now."""
+        """Store a status that arrived now.
+
+        Experts and demand are left out of most messages.
+        """
+        _, last = self._heard.get(status.rank, (0.0, None))
+        if last is not None and _same_map(last, status):
+            status.experts = status.experts or last.experts
+            status.demand = status.demand or last.demand
         self._heard[status.rank] = (self._clock(), status)
         if status.address:
             self.addresses[status.rank] = status.address
@@ -89,6 +99,15 @@
         }
         return found | {own.rank: own}
 
+    def ips(self) -> set[str]:
+        """Return the hosts of all ranks that were ever heard."""
+        return {item.rpartition(':')[0] for item in self.addresses.values()}
+
+    def leader_ip(self, own: Status) -> str:
+        """Return the host of the lowest rank that is heard."""
+        address = self.addresses.get(min(self.fresh(own)), '')
+        return address.rpartition(':')[0]
+
     def highest_term(self) -> int:
         """Return the highest term that any rank promised."""
         return max(
@@ -198,7 +217,11 @@
             if now_s >= end_s:
                 return False
             if now_s >= next_send_s:
-                next_send_s = now_s + REPEAT_S
+                next_send_s = now_s + (
+                    PREPARE_REPEAT_S
+                    if self._intent.phase == model.Phase.PREPARE
+                    else REPEAT_S
+                )
                 self._messenger.publish(self._intent)
                 await self._drive_missing()
             self._view.changed.clear()
@@ -298,11 +321,30 @@
             armed=sorted(armed),
             held=[(s.rank, s.held_step) for s in held],
         )
-        if len(armed) > 1 or armed == {(messages.NONE, messages.NONE)}:
-            await self._abort()
+        none = (messages.NONE, messages.NONE)
+        if held:
+            (first, *others) = armed
+            if not others and first[1] == held[0].held_step:
+                await self._release(first[1])
+            else:
+                await self._abort()
+            return
+        steps = [step for version, step in armed if version != messages.NONE]
+        begun = max(s.step for s in statuses.values())
+        if none not in armed and len(armed) == 1 or min(steps) <= begun:
+            # Armed everywhere, or reports from before and after the switch:
+            # the group switches by itself.
+            await self._until(_is_finished, RESOLVE_TIMEOUT_S)
             return
-        ((_, step),) = armed
-        await self._release(step)
+        # Ranks must not be disarmed one by one while the step may begin.
+        step = min(steps)
+        own_rank = self._own_status().rank
+        self._want(model.Phase.HOLD, step=step, holder=own_rank)
+        if await self._until(
+            lambda s: s.rank != own_rank or s.held_step == step,
+            HOLD_TIMEOUT_S,
+        ):
+            await self._abort()
 
     async def _abort(self) -> None:
         """Disarm all ranks, make late orders harmless, release the group."""
@@ -390,6 +432,9 @@
             ARM_TIMEOUT_S,
         ):
             await self._release(step)
+            await self._until(
+                lambda s: s.map_version == version, RESOLVE_TIMEOUT_S
+            )
         else:
             await self._abort()
 
@@ -440,10 +485,22 @@
         return plan if plan.moves else None
 
 
+def _same_map(one: Status, other: Status) -> bool:
+    return (one.group, one.epoch, one.map_version) == (
+        other.group,
+        other.epoch,
+        other.map_version,
+    )
+
+
 def _has_any(status: Status) -> bool:
     return True
 
 
+def _is_finished(status: Status) -> bool:
+    return not _is_unfinished(status)
+
+
 def _is_unfinished(status: Status) -> bool:
     return (
         status.held_step != messages.NONE
--- a/src/wagtailhollow/internal/experts/live/packing.py
+++ b/src/wagtailhollow/internal/experts/live/packing.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-import array
+import struct
 from collections.abc import Sequence
 
 from .model import Layers
 
-MAX_COUNT = 65_535
+MAX_BYTE = 255
+_SCALE = struct.Struct('<f')
 
 
 def pack_rank(layers: Layers) -> bytes:
@@ -51,15 +52,16 @@
 
 
 def pack_counts(counts: Sequence[int]) -> bytes:
-    """Return counts as 16-bit numbers, scaled down if one is larger."""
-    highest = max(counts, default=0)
-    if highest > MAX_COUNT:
-        counts = [count * MAX_COUNT // highest for count in counts]
-    return array.array('H', counts).tobytes()
+    """Return counts as bytes after a scale; exact to 1/255 of the largest."""
+    scale = max(max(counts, default=0) / MAX_BYTE, 1.0)
+    return _SCALE.pack(scale) + bytes(round(item / scale) for item in counts)
 
 
-def unpack_counts(data: bytes) -> array.array:
+def unpack_counts(data: bytes) -> list[float]:
     """Return packed counts; raises ValueError."""
-    counts = array.array('H')
-    counts.frombytes(data)
-    return counts
+    if not data:
+        return []
+    if len(data) < _SCALE.size:
+        raise ValueError('counts without a scale')
+    (scale,) = _SCALE.unpack_from(data)
+    return [item * scale for item in data[_SCALE.size :]]
--- a/src/wagtailhollow/internal/experts/paced.py
+++ b/src/wagtailhollow/internal/experts/paced.py
@@ -9,21 +9,21 @@
 
 from . import observation, placement, planner, search
 
-TRIGGER = 1.18
+TRIGGER = 1.4
 """Mean skew from which a map is changed; below it the saving is less than
 the slow-down while weights arrive."""
 
-MIN_SAVING = 0.06
+MIN_SAVING = 0.12
 """Least share by which the mean skew has to fall."""
 
-MIN_GAIN = 0.02
+MIN_GAIN = 0.06
 """Least gain of one weight, as a share of a rank's mean load."""
 
 LIGHT_RANKS = 4
 HOT_SLOTS = 3
 """Bounds of the search: about 0.6 ms a step, 20 ms a plan."""
 
-GOAL = 1.06
+GOAL = 1.15
 """Skew of a layer at which it is left alone."""
 
 
