--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -62,6 +62,9 @@
     def candidates(self, call: call_module.Call) -> list[policy.Candidate]:
         """Return the targets that may take the call, by what is known."""
 
+    def has_room(self, candidate: policy.Candidate) -> bool:
+        """Return whether a call should be sent there rather than wait."""
+
     def attempt(
         self,
         call: call_module.Call,
@@ -133,7 +136,11 @@
         """
         await self._wait_for_reports(call)
         candidates = self._targets.candidates(call)
-        untried = [item for item in candidates if item.target not in tried]
+        untried = [
+            item
+            for item in candidates
+            if item.target not in tried and self._targets.has_room(item)
+        ]
         if not untried:
             kind = (
                 errors.ErrorKind.OVERLOADED
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -10,6 +10,7 @@
 from starlette import routing
 
 from ...daemon import http, lifecycle
+from ...datagram import endpoint, messages
 from ...directory import follow, state
 from ...hostcfg import model as hostcfg
 from ...http1 import pool
@@ -31,6 +32,13 @@
 OTHER_WAIT_S = 2.5
 """A watch that went silent is noticed after this and the call's time-out."""
 
+METRICS_PORT = 9464
+"""Port of the metrics, named in deploy/system.toml; the usual one of
+Prometheus exporters of applications."""
+
+SUBSCRIBE_PERIOD_S = 1.0
+"""Agents forget an entry after 3 s."""
+
 MAX_CONNECTIONS = 900
 """Of 1,535 descriptors 200 are kept for files; the rest goes to targets."""
 
@@ -124,6 +132,13 @@
             http.operator_routes(self._not_ready_reason),
             cfg.readiness_address,
         )
+        self._metrics = http.HttpServer(
+            http.operator_routes(self._not_ready_reason),
+            f'{cfg.ip}:{METRICS_PORT}',
+        )
+        self._port = cfg.internal_ports[0]
+        self._endpoint = endpoint.Endpoint(messages.ALL)
+        self._endpoint.on(messages.LoadReport, self._heard_load)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -132,7 +147,10 @@
             lifecycle.background(follower.run())
             for follower in self._followers
         ]
+        await self._endpoint.open(self._cfg.ip, self._port)
+        self._tasks.append(lifecycle.background(self._subscribe()))
         await self._operators.start()
+        await self._metrics.start()
         await self._callers.start()
         decisions.log('started', address=self._cfg.callers_address)
 
@@ -153,6 +171,8 @@
             task.cancel()
         await self._callers.stop()
         await self._operators.stop()
+        await self._metrics.stop()
+        self._endpoint.close()
 
     def _not_ready_reason(self) -> str | None:
         if self._app.draining:
@@ -165,6 +185,30 @@
             return 'the configuration may be outdated'
         return None
 
+    async def _subscribe(self) -> None:
+        """Ask the agents for load reports, for ever."""
+        message = messages.Subscribe(node=self._cfg.node)
+        while True:
+            services = self._directory.services()
+            ips = {
+                record.address.rpartition(':')[0]
+                for record in self._directory.all_targets()
+                if record.service in services
+                and services[record.service].engine is not None
+            }
+            self._endpoint.send(message, ips, self._port)
+            await asyncio.sleep(SUBSCRIBE_PERIOD_S)
+
+    def _heard_load(self, message: messages.LoadReport, ip: str) -> None:
+        for record in self._directory.all_targets():
+            if record.address == message.target:
+                self._targets.take_report(
+                    record.name,
+                    message.running,
+                    message.waiting,
+                    message.is_open,
+                )
+
     def _check(self, call: routed.RoutedCall) -> None:
         """Raise Refusal if the call must not reach a target any more."""
         if call.has_key:
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 import time
 from collections.abc import Callable
 
@@ -18,6 +19,25 @@
 MAX_REPORT_AGE_S = 1.5
 """Loads reported longer ago say nothing about a queue of the present."""
 
+MAX_WAITING_SHARE = 0.5
+"""Calls that may wait at a target, as a share of its slots. One slot in six
+is free again after about 0.2 s; more would wait longer than the 0.5 s in
+which the first token is due."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    """A target's load when it was last heard.
+
+    :ivar own: calls of this entry that ran there then.
+    """
+
+    made_s: float
+    running: int
+    waiting: int
+    own: int
+    is_open: bool
+
 
 class DirectTargets:
     """Targets by their registrations, with what is known of their load."""
@@ -38,23 +58,33 @@
         self._sharing = sharing
         self._clock = clock
         self._outstanding: collections.Counter[str] = collections.Counter()
-        self._reports: dict[str, tuple[float, int, int, int]] = {}
+        self._reports: dict[str, _Report] = {}
         self._avoid_until_s: dict[str, float] = {}
 
     def is_connected(self, call: routed.RoutedCall) -> bool:
         """See :class:`calls.TargetSource`."""
-        return bool(self._directory.targets(call.service_name))
+        return any(
+            map(self._is_open, self._directory.targets(call.service_name))
+        )
 
     def candidates(self, call: routed.RoutedCall) -> list[policy.Candidate]:
-        """See :class:`calls.TargetSource`."""
+        """See :class:`calls.TargetSource`.
+
+        Full targets are left out as long as their load is known well.
+        """
         records = self._directory.targets(call.service_name)
         now_s = self._clock()
+        usable = [item for item in records if self._is_open(item)] or records
         healthy = [
             record
-            for record in records
+            for record in usable
             if self._avoid_until_s.get(record.name, 0.0) <= now_s
         ]
-        return [self._candidate(record) for record in healthy or records]
+        return [self._candidate(record) for record in healthy or usable]
+
+    def has_room(self, candidate: policy.Candidate) -> bool:
+        """See :class:`calls.TargetSource`."""
+        return candidate.load < 1 + MAX_WAITING_SHARE
 
     def attempt(
         self,
@@ -105,29 +135,37 @@
             running, waiting, _ = (int(part) for part in parts)
             self.take_report(record.name, running, waiting)
 
-    def take_report(self, name: str, running: int, waiting: int) -> None:
-        """Take a load report that was made now."""
-        self._reports[name] = (
-            self._clock(),
-            running,
-            waiting,
-            self._outstanding[name],
+    def take_report(
+        self, name: str, running: int, waiting: int, is_open: bool = True
+    ) -> None:
+        """Take a load report that was made now.
+
+        :param is_open: whether the target's group serves.
+        """
+        self._reports[name] = _Report(
+            self._clock(), running, waiting, self._outstanding[name], is_open
         )
 
+    def _is_open(self, record: model.TargetRecord) -> bool:
+        report = self._fresh_report(record)
+        return report is None or report.is_open
+
+    def _fresh_report(self, record: model.TargetRecord) -> _Report | None:
+        report = self._reports.get(record.name)
+        if report is None or self._clock() - report.made_s > MAX_REPORT_AGE_S:
+            return None
+        return report
+
     def _candidate(self, record: model.TargetRecord) -> policy.Candidate:
         own = self._outstanding[record.name]
-        made_s, running, waiting, own_then = self._reports.get(
-            record.name, (0.0, 0, 0, 0)
-        )
-        if self._clock() - made_s > MAX_REPORT_AGE_S:
-            running = waiting = own_then = 0
+        report = self._fresh_report(record) or _Report(0.0, 0, 0, 0, True)
         return policy.Candidate(
             target=record.name,
             address=record.address,
             data_centre=record.data_centre,
             outstanding=own,
-            reported_running=running,
-            reported_queued=waiting,
-            sent_since_report=max(own - own_then, -running),
+            reported_running=report.running,
+            reported_queued=report.waiting,
+            sent_since_report=max(own - report.own, -report.running),
             cap=record.slots,
         )
