--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -143,6 +143,7 @@
         self._highest_version = 0
         self._epoch: tuple[str, int] | None = None
         self.skew = 0.0
+        self._choices = 0
 
     async def run(self) -> None:
         """Coordinate for ever."""
@@ -410,6 +411,7 @@
             group=self._intent.group,
             version=version,
             skew=round(self.skew, 3),
+            choices=self._choices,
             moves=plan.moves,
             is_prepared=is_prepared,
             prepare_s=round(prepared_s - began_s, 3),
@@ -470,6 +472,7 @@
         ):
             return None
         current = _placement(rows, layers, places)
+        self._choices = round(sum(map(sum, seen)))
         self.skew = (
             sum(
                 layer.skew(row)
--- /dev/null
+++ b/tests/cover/test_live_switch.py
@@ -0,0 +1,189 @@
+"""Switches of a live map: one map in each pass, whatever happens to agents."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from standins import live_group, memory_platform
+from wagtailhollow.internal.datagram import messages
+from wagtailhollow.internal.experts.live import model, rank
+
+RANKS = 4
+STOP_BOUND_S = 2.0
+"""A caller gives up on a stream after a pause of 2 s."""
+
+
+def play(seed, scenario, seconds):
+    """Run a group; returns it after *seconds*."""
+    group = live_group.Group(RANKS, seed)
+
+    async def work():
+        for agent in group.agents:
+            agent.start()
+        passes = asyncio.create_task(group.run_passes())
+        chaos = asyncio.create_task(scenario(group))
+        await asyncio.sleep(seconds)
+        chaos.cancel()
+        for agent in group.agents:
+            agent.is_frozen = False
+        group.faults = live_group.Faults()
+        await asyncio.sleep(5)
+        for agent in group.agents:
+            agent.kill()
+        passes.cancel()
+        await asyncio.gather(passes, chaos, return_exceptions=True)
+
+    memory_platform.run_fast(work)
+    return group
+
+
+async def calm(group):
+    await asyncio.Event().wait()
+
+
+async def late_orders(group):
+    group.faults = live_group.Faults(unanswered=0.35, lost=0.05)
+    await asyncio.Event().wait()
+
+
+async def frozen_agents(group):
+    group.faults = live_group.Faults(unanswered=0.1, lost=0.02)
+    while True:
+        await asyncio.sleep(group.rng.uniform(0.2, 1.5))
+        agent = group.rng.choice(group.agents[:2])
+        agent.is_frozen = True
+        await asyncio.sleep(group.rng.uniform(0.1, 4.0))
+        agent.is_frozen = False
+
+
+async def killed_agents(group):
+    group.faults = live_group.Faults(unanswered=0.2, lost=0.02)
+    while True:
+        await asyncio.sleep(group.rng.uniform(0.1, 2.0))
+        agent = group.rng.choice(group.agents)
+        agent.kill()
+        await asyncio.sleep(group.rng.uniform(0.0, 3.0))
+        agent.start()
+
+
+def test_map_changes_while_nothing_fails():
+    """Guards against a switch that is safe because it never happens."""
+    group = play(1, calm, 10)
+    assert not group.mixed
+    assert len(group.versions) > 15
+    assert group.longest_stop_s < 3 * live_group.PASS_S
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize(
+    'scenario', [late_orders, frozen_agents, killed_agents]
+)
+def test_no_pass_has_two_maps(scenario, seed):
+    """Guards against ranks that disagree after late orders or lost agents."""
+    group = play(seed, scenario, 15)
+    assert not group.mixed
+    assert len(group.versions) > 1
+
+
+@pytest.mark.parametrize('seed', range(10, 13))
+@pytest.mark.parametrize('scenario', [frozen_agents, killed_agents])
+def test_group_is_not_held_after_its_coordinator_is_lost(scenario, seed):
+    """Guards against a hold that nobody releases."""
+    group = play(seed, scenario, 15)
+    assert group.longest_stop_s < STOP_BOUND_S
+
+
+class ScriptedEngine:
+    """Answers each order with the next result."""
+
+    def __init__(self, report, results):
+        self.now = report
+        self.results = list(results)
+        self.orders = []
+
+    async def report(self):
+        return self.now
+
+    async def maps(self):
+        return model.RankMaps(1, self.now.map_version, [[0]], None)
+
+    async def _order(self, *order):
+        self.orders.append(order)
+        return self.results.pop(0)
+
+    async def prepare(self, epoch, version, experts):
+        return await self._order('prepare', version)
+
+    async def arm(self, epoch, version, step):
+        return await self._order('arm', version, step)
+
+
+def report(**fields):
+    values = {
+        'group': 'g',
+        'epoch': 1,
+        'rank': 0,
+        'size': 2,
+        'is_open': True,
+        'step': 10,
+        'map_version': 3,
+        'prepared': None,
+        'armed': None,
+        'held_step': None,
+        'running': 0,
+        'waiting': 0,
+        'memory_used': 0,
+        'born_ms': 5,
+    }
+    return model.RankReport(**(values | fields))
+
+
+def intent(**fields):
+    return messages.Intent(group='g', epoch=1, **fields)
+
+
+def test_order_without_an_answer_is_given_again():
+    """Guards against a switch that waits for an order that was lost."""
+    engine = ScriptedEngine(
+        report(prepared=7),
+        [model.OrderResult.UNKNOWN, model.OrderResult.DONE],
+    )
+    driver = rank.RankDriver(engine)
+    driver.take(intent(term=1, phase=model.Phase.ARM, version=7, step=14))
+
+    async def ticks():
+        await driver.tick()
+        await driver.tick()
+
+    asyncio.run(ticks())
+    assert engine.orders == [('arm', 7, 14), ('arm', 7, 14)]
+
+
+def test_lower_term_is_not_obeyed():
+    """Guards against a coordinator that wakes up after it was replaced."""
+    engine = ScriptedEngine(report(prepared=7), [])
+    driver = rank.RankDriver(engine)
+    driver.take(intent(term=512, phase=model.Phase.IDLE))
+    assert not driver.take(
+        intent(term=256, phase=model.Phase.ARM, version=7, step=14)
+    )
+    asyncio.run(driver.tick())
+    assert engine.orders == []
+
+
+def test_refused_version_is_reported():
+    """Guards against a coordinator that repeats a version for ever."""
+    engine = ScriptedEngine(report(), [model.OrderResult.CONFLICT])
+    driver = rank.RankDriver(engine)
+    driver.take(
+        intent(
+            term=1,
+            phase=model.Phase.PREPARE,
+            version=2,
+            experts=bytes((1, 1, 0)),
+        )
+    )
+    asyncio.run(driver.tick())
+    assert driver.status().refused_version == 2
