End a coordination whose ranks promised a later term

Cause: a rank that was frozen while it coordinated woke up with its own later term; the lower rank's coordinator counted only ranks of its own term, so it neither went on nor claimed again, and a hold stood for ever.

--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -238,9 +238,12 @@
         own = self._own_status()
         if (own.group, own.epoch) != self._epoch or not own.is_open:
             raise Interrupted('the group formed anew')
-        if self._own.term > self._intent.term:
+        heard = self._view.fresh(own)
+        # A rank that promised another coordinator more obeys this one only
+        # after a new claim.
+        if max(s.term for s in heard.values()) > self._intent.term:
             raise Interrupted('a later term was promised')
-        if min(self._view.fresh(own)) != own.rank:
+        if min(heard) != own.rank:
             raise Interrupted('a lower rank is back')
 
     def _statuses(self) -> dict[int, Status]:
@@ -295,8 +298,7 @@
             **fields,
         )
         self._intent = intent
-        if not self._own.take(intent):
-            self._check()
+        self._own.take(intent)
 
     def _new_version(self, statuses: Mapping[int, Status]) -> int:
         """Return a version above all that the ranks are known to have had."""
--- a/standins/live_group.py
+++ b/standins/live_group.py
@@ -14,6 +14,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+from wagtailhollow.internal.daemon import lifecycle
 from wagtailhollow.internal.datagram import messages
 from wagtailhollow.internal.experts import observation, placement, planner
 from wagtailhollow.internal.experts.live import (
@@ -235,8 +236,8 @@
             lambda: (LAYERS, PLACES),
         )
         self._tasks = [
-            asyncio.create_task(self._watch()),
-            asyncio.create_task(self.coordinator.run()),
+            lifecycle.background(self._watch()),
+            lifecycle.background(self.coordinator.run()),
         ]
 
     def kill(self) -> None:
