--- a/src/wagtailhollow/internal/directory/follow.py
+++ b/src/wagtailhollow/internal/directory/follow.py
@@ -22,6 +22,10 @@
 OUTAGE_S = 1.0
 """Time without the store after which its entries may have lapsed."""
 
+LAPSE_MEMORY_S = 2.0
+"""Time after an outage in which a removal may be such a lapse: entries of
+targets that live are back within it."""
+
 
 def suspend_aware_now() -> float:
     """Return a clock in seconds that also counts a suspended machine."""
@@ -66,7 +70,7 @@
         self._wait_s = wait_s
         self._revision: int | None = None
         self._failing_since_s: float | None = None
-        self._outage_ended = False
+        self._outage_ended_s = -LAPSE_MEMORY_S
         self.confirmed_s: float | None = None
 
     def age_s(self) -> float:
@@ -81,7 +85,6 @@
         while True:
             try:
                 await self._step()
-                self._note_success()
                 pause_s = RETRY_MIN_S
             except changes.HistoryGone:
                 decisions.log('history_gone', kind=self._kind)
@@ -95,10 +98,12 @@
         asked_s = suspend_aware_now()
         if self._revision is None:
             listing = await self._source.read()
+            self._note_success()
             self._take(listing.documents, listing.revision, True)
             self.confirmed_s = asked_s
             return
         found = await self._source.watch(self._revision, self._wait_s)
+        self._note_success()
         if found.documents:
             self._take(found.documents, found.revision, False)
             self.confirmed_s = max(self.confirmed_s or 0.0, asked_s)
@@ -113,17 +118,11 @@
         revision: int,
         is_listing: bool,
     ) -> None:
-        after_outage = self._outage_ended or self._is_out()
-        self._outage_ended = False
+        away_s = suspend_aware_now() - self._outage_ended_s
+        after_outage = away_s < LAPSE_MEMORY_S
         self._apply(Update(documents, revision, is_listing, after_outage))
         self._revision = revision
 
-    def _is_out(self) -> bool:
-        return (
-            self._failing_since_s is not None
-            and suspend_aware_now() - self._failing_since_s > OUTAGE_S
-        )
-
     def _note_failure(self, exc: Exception) -> None:
         if self._failing_since_s is None:
             self._failing_since_s = suspend_aware_now()
@@ -132,7 +131,8 @@
     def _note_success(self) -> None:
         if self._failing_since_s is not None:
             away_s = suspend_aware_now() - self._failing_since_s
-            self._outage_ended = self._is_out()
+            if away_s > OUTAGE_S:
+                self._outage_ended_s = suspend_aware_now()
             decisions.log(
                 'store_regained', kind=self._kind, away_s=round(away_s, 3)
             )
--- /dev/null
+++ b/tests/cover/test_directory.py
@@ -0,0 +1,235 @@
+"""Copies of the deployed configuration: their order, their age, outages."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from standins import memory_platform
+from wagtailhollow import errors
+from wagtailhollow.internal.directory import changes, follow, model, state
+from wagtailhollow.internal.entry.direct import freshness
+
+
+def route(prefix, service='s'):
+    return model.Route(
+        prefix,
+        'a.example',
+        prefix,
+        model.CallKind.IDEMPOTENT,
+        (model.ServiceShare(service, 1.0),),
+        1.0,
+        0.2,
+    )
+
+
+def manifest(revision, *routes):
+    return model.Manifest(
+        revision, revision, routes, {}, model.CallerLimits(), None
+    )
+
+
+def target(name, **fields):
+    values = {
+        'born_ms': 1,
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'data_centre': 'dc-1',
+        'slots': 6,
+        'state': model.TargetState.READY,
+    }
+    return model.TargetRecord(name, **(values | fields))
+
+
+def update(documents, is_listing=False, after_outage=False):
+    return follow.Update(documents, 5, is_listing, after_outage)
+
+
+@pytest.fixture
+def now():
+    return [100.0]
+
+
+@pytest.fixture
+def directory(now):
+    return state.Directory(lambda: now[0])
+
+
+def test_longest_prefix_wins(directory):
+    """Guards against a call on the route of a shorter prefix."""
+    directory.apply_manifest(
+        update({'main': manifest(1, route('/a/'), route('/a/b/', 't'))})
+    )
+    assert directory.route('A.example', '/a/b/c').prefix == '/a/b/'
+    assert directory.route('a.example', '/a/bc').prefix == '/a/'
+    assert directory.route('b.example', '/a/b/c') is None
+    assert directory.route('a.example', '/a') is None
+
+
+def test_manifest_never_goes_back(directory):
+    """Guards against an older manifest that arrives later."""
+    directory.apply_manifest(update({'main': manifest(9, route('/new/'))}))
+    directory.apply_manifest(update({'main': manifest(4, route('/old/'))}))
+    assert directory.manifest.revision == 9
+    assert directory.route('a.example', '/old/x') is None
+
+
+def test_withdrawn_data_centre_gets_no_calls(directory):
+    """Guards against calls to a data centre that operators took out."""
+    directory.apply_targets(update({'i': target('i')}))
+    directory.apply_withdrawals(update({'dc-1': True}))
+    assert directory.targets('s') == []
+    assert directory.ready('i') is None
+    directory.apply_withdrawals(update({'dc-1': None}))
+    assert directory.targets('s') == [target('i')]
+
+
+def test_leaving_target_gets_no_calls(directory):
+    """Guards against calls to a target that said it leaves."""
+    directory.apply_targets(update({'i': target('i')}))
+    directory.apply_targets(
+        update({'i': target('i', state=model.TargetState.LEAVING)})
+    )
+    assert directory.ready('i') is None
+
+
+def test_target_that_lapsed_in_an_outage_returns_within_its_grace(
+    directory, now
+):
+    """Guards against calls lost because the store forgot live targets."""
+    directory.apply_targets(update({'i': target('i')}, is_listing=True))
+    directory.apply_targets(update({}, is_listing=True, after_outage=True))
+    assert directory.ready('i') is not None
+    directory.apply_targets(update({'i': target('i')}))
+    now[0] += state.LAPSE_GRACE_S + 1
+    assert directory.ready('i') is not None
+
+
+def test_target_missing_after_its_grace_is_gone(directory, now):
+    """Guards against calls to a target that died during an outage."""
+    directory.apply_targets(update({'i': target('i')}, is_listing=True))
+    directory.apply_targets(update({}, is_listing=True, after_outage=True))
+    now[0] += state.LAPSE_GRACE_S + 0.1
+    assert directory.ready('i') is None
+    assert directory.targets('s') == []
+
+
+def test_target_removed_without_an_outage_is_gone_at_once(directory):
+    """Guards against a grace that keeps departed targets in use."""
+    directory.apply_targets(update({'i': target('i')}))
+    directory.apply_targets(update({'i': None}))
+    assert directory.all_targets() == []
+
+
+class ScriptedSource:
+    """Gives the next listing, changes or error."""
+
+    def __init__(self, *script):
+        self.script = list(script)
+        self.asked = []
+
+    async def _next(self, *asked):
+        self.asked.append(asked)
+        await asyncio.sleep(0.01)
+        if not self.script:
+            await asyncio.Event().wait()
+        item = self.script.pop(0)
+        if isinstance(item, Exception):
+            raise item
+        return item
+
+    async def read(self):
+        return await self._next('read')
+
+    async def watch(self, revision, wait_s):
+        return await self._next('watch', revision)
+
+
+def follow_script(monkeypatch, *script):
+    """Run a follower through *script* on a clock without real time."""
+    source = ScriptedSource(*script)
+    updates = []
+    follower = follow.Follower('things', source, updates.append, 1.5)
+
+    async def work():
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(follow, 'suspend_aware_now', loop.time)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(10)
+        task.cancel()
+
+    memory_platform.run_fast(work)
+    return source, updates, follower
+
+
+def test_lost_history_is_read_again(monkeypatch):
+    """Guards against changes missed after the store dropped its history."""
+    source, updates, _ = follow_script(
+        monkeypatch,
+        changes.Listing({'a': 1}, 4),
+        changes.HistoryGone('x'),
+        changes.Listing({'b': 2}, 9),
+    )
+    assert [item[0] for item in source.asked] == [
+        'read',
+        'watch',
+        'read',
+        'watch',
+    ]
+    assert source.asked[-1] == ('watch', 9)
+    assert updates[-1].is_listing
+
+
+def test_outage_is_reported_with_the_next_update(monkeypatch):
+    """Guards against lapsed registrations taken for departures."""
+    failures = [changes.SourceUnavailable('down')] * 6
+    _, updates, _ = follow_script(
+        monkeypatch,
+        changes.Listing({'a': 1}, 4),
+        *failures,
+        changes.Changes({'a': None}, 9),
+        changes.Changes({'b': 1}, 10),
+    )
+    assert [item.after_outage for item in updates] == [False, True, True]
+
+
+def test_removal_long_after_an_outage_is_a_departure(monkeypatch):
+    """Guards against calls to a target that left, kept by a late grace."""
+    failures = [changes.SourceUnavailable('down')] * 6
+    quiet = [changes.Changes({}, 4)] * 250
+    _, updates, _ = follow_script(
+        monkeypatch,
+        changes.Listing({'a': 1}, 4),
+        *failures,
+        *quiet,
+        changes.Changes({'a': None}, 9),
+    )
+    assert [item.after_outage for item in updates] == [False, False]
+
+
+def test_hanging_watch_proves_nothing(monkeypatch):
+    """Guards against a manifest trusted because a watch is open."""
+    _, _, follower = follow_script(monkeypatch, changes.Listing({'a': 1}, 4))
+    assert follower.confirmed_s == 0.0
+
+
+def fresh(age_s, is_strict=True):
+    return freshness.Freshness(lambda: age_s, 5.0, is_strict)
+
+
+def test_keys_are_refused_before_their_withdrawal_would_bind():
+    """Guards against a withdrawn key served by a host without the store."""
+    fresh(5.0 - freshness.KEY_MARGIN_S - 0.1).require_for_keys()
+    with pytest.raises(errors.Refusal) as caught:
+        fresh(5.0 - freshness.KEY_MARGIN_S + 0.1).require_for_keys()
+    assert caught.value.answer.status == 503
+    assert caught.value.retry_after_s
+
+
+def test_route_is_not_denied_by_an_old_manifest():
+    """Guards against a 404 for a route that was added meanwhile."""
+    fresh(1.9).require_newest('no route')
+    with pytest.raises(errors.Refusal) as caught:
+        fresh(2.1).require_newest('no route')
+    assert caught.value.answer.status == 503
--- /dev/null
+++ b/tests/cover/test_platform_decoding.py
@@ -0,0 +1,244 @@
+"""Documents of the users' platform, decoded into the product's types."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wagtailhollow.internal.directory import changes, model
+from wagtailhollow.internal.platform import (
+    engine,
+    manifest,
+    settings,
+    store,
+    targets,
+)
+
+SPEC = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r1',
+            'host': 'a.example',
+            'path_prefix': '/x/',
+            'kind': 'streaming',
+            'timeout_ms': 8000,
+            'target_latency_ms': 502,
+            'priority': 1,
+            'traffic_split': [
+                {'service': 's', 'weight': 90},
+                {'service': 't', 'weight': 10},
+            ],
+            'max_attempts': 2,
+            'public': False,
+            'sticky': True,
+            'resumable': True,
+            'target_gap_ms': 120,
+        },
+        {
+            'name': 'r2',
+            'host': 'a.example',
+            'path_prefix': '/x/y/',
+            'kind': 'unsafe',
+            'timeout_ms': 1000,
+            'service': 't',
+            'public': True,
+        },
+    ],
+    'services': [
+        {
+            'name': 's',
+            'health_path': '/healthz',
+            'max_conns': 816,
+            'cold_start_s': 3.0,
+            'cold_per_s': 36.0,
+            'engine': {
+                'slots': 6,
+                'kv_capacity': 140000,
+                'link_mbps': 92000.0,
+                'stride': 4,
+                'step_ms': 4.55,
+                'per_seq_ms': 1.81,
+                'context_per_k': 0.0366,
+                'read_per_s': 61400.0,
+                'usual': {'prompt': 835, 'answer': 97},
+                'sets': 6,
+                'experts': 64,
+                'places': 11,
+                'spare': 4,
+                'expert_mb': 1700.0,
+                'expert_share': 0.85,
+            },
+        },
+        {'name': 't'},
+    ],
+    'limits': {
+        'max_header_bytes': 16384,
+        'max_body_bytes': 4194304,
+        'header_timeout_ms': 3000,
+        'idle_timeout_ms': 15000,
+    },
+    'tenants': [
+        {'name': 'org', 'api_keys': ['k1', 'k2'], 'priority': 1},
+    ],
+}
+
+SERVER = {
+    'service': 's',
+    'address': '10.1.0.9:8080',
+    'zone': 'dc-1',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'cold_left_ms': 1500,
+    'born': 1788078915000,
+    'seq': 4,
+}
+
+
+def test_manifest_is_decoded():
+    """Guards against a field read under the wrong name or unit."""
+    found = manifest.decode('main', 12, SPEC)
+    stream, once = found.routes
+    assert stream.kind is model.CallKind.STREAM
+    assert (stream.timeout_s, stream.objective_s) == (8.0, 0.502)
+    assert stream.may_repeat and stream.max_attempts == 2
+    assert [share.weight for share in stream.shares] == [90.0, 10.0]
+    assert once.kind is model.CallKind.ONCE and not once.may_repeat
+    assert once.shares == (model.ServiceShare('t', 1.0),)
+    experts = found.services['s'].engine.experts
+    assert (experts.layers, experts.places) == (6, 11)
+    assert experts.load_s == pytest.approx(0.148, abs=0.001)
+    assert found.organisations['k2'].name == 'org'
+    assert found.limits.idle_timeout_s == 15.0
+
+
+def test_manifest_without_organisations_asks_for_no_key():
+    """Guards against calls refused where nobody has a key."""
+    spec = {name: SPEC[name] for name in SPEC if name != 'tenants'}
+    assert manifest.decode('main', 1, spec).organisations is None
+
+
+def test_registration_is_decoded():
+    """Guards against two incarnations that look like one."""
+    record = targets.decode('i-1', 3, SERVER)
+    assert record.incarnation == ('i-1', 1788078915000)
+    assert record.state is model.TargetState.READY
+    assert record.cold_s == 1.5
+
+
+def items(spec):
+    return [{'metadata': {'name': 'i-1', 'revision': 3}, 'spec': spec}]
+
+
+class Pages:
+    """Client whose answers are given."""
+
+    def __init__(self, *pages):
+        self.pages = list(pages)
+        self.queries = []
+
+    async def get(self, kind, query, wait_s=0.0):
+        self.queries.append(dict(query))
+        return self.pages.pop(0)
+
+
+def read(*pages):
+    client = Pages(*pages)
+    source = store.ObjectSource(client, 'servers', targets.decode)
+    return client, asyncio.run(source.read())
+
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(), inner, max_size=3)
+    ),
+    max_leaves=5,
+)
+
+
+@given(st.sampled_from(sorted(SERVER)), json_values)
+def test_entry_of_another_writer_names_no_target_or_a_sound_one(name, value):
+    """Guards against an unreadable registration that stops the follower."""
+    spec = copy.deepcopy(SERVER) | {name: value}
+    _, listing = read({'items': items(spec), 'store_revision': 5})
+    for record in listing.documents.values():
+        assert isinstance(record.service, str)
+        assert record.slots >= 1
+        assert record.address.rpartition(':')[2].isdigit()
+
+
+@given(json_values)
+def test_item_of_any_shape_is_survived(value):
+    """Guards against an object without the usual parts."""
+    _, listing = read({'items': [value], 'store_revision': 5})
+    assert listing.documents == {}
+
+
+def test_listing_goes_on_until_the_last_page():
+    """Guards against targets beyond the first page that get no calls."""
+    second = {'metadata': {'name': 'i-2', 'revision': 4}, 'spec': SERVER}
+    client, listing = read(
+        {'items': items(SERVER), 'has_more': True, 'store_revision': 5},
+        {'items': [second], 'has_more': False, 'store_revision': 9},
+    )
+    assert sorted(listing.documents) == ['i-1', 'i-2']
+    assert client.queries == [{}, {'after': 'i-1'}]
+    # The watch has to show what changed between the pages.
+    assert listing.revision == 5
+
+
+def test_watch_tells_removed_from_changed():
+    """Guards against calls to a target that deregistered."""
+    gone = {'metadata': {'name': 'i-2', 'revision': 7}, 'spec': SERVER}
+    client = Pages(
+        {
+            'events': [
+                {'object': items(SERVER)[0], 'removed': False},
+                {'object': gone, 'removed': True},
+            ],
+            'store_revision': 8,
+        }
+    )
+    source = store.ObjectSource(client, 'servers', targets.decode)
+    found = asyncio.run(source.watch(6, 1.5))
+    assert found.documents['i-1'].service == 's'
+    assert found.documents['i-2'] is None
+    assert client.queries == [{'watch': 6, 'wait_ms': 1500}]
+
+
+@pytest.mark.parametrize(
+    ('status', 'error'),
+    [
+        (410, changes.HistoryGone),
+        (503, changes.SourceUnavailable),
+        (429, changes.SourceUnavailable),
+    ],
+)
+def test_refusals_of_the_store_are_told_apart(status, error):
+    """Guards against a lost history that is taken for an outage."""
+    with pytest.raises(error):
+        store._document('servers', status, b'{}')
+
+
+def test_settings_name_the_missing_field():
+    """Guards against a traceback instead of a reason."""
+    with pytest.raises(KeyError, match='node_name'):
+        settings.decode({'internal_ports': [1, 2]})
+
+
+def test_report_of_an_engine_without_a_group_is_none(monkeypatch):
+    """Guards against an agent that fails beside a plain service."""
+    client = engine.EngineClient('127.0.0.1:1')
+
+    async def answer(path):
+        return {'running': 1}
+
+    monkeypatch.setattr(client, '_ask', answer)
+    assert asyncio.run(client.report()) is None
