Count retries in the window of the deployment's bound

Cause: the token budget saves one retry of an idle entry, so a call that two targets turned away was refused although the bound allows 18 more; all streams of a lost group met the same. A window of calls and retries keeps the bound exactly. Also stand-ins of the platform's store and of engines, and the whole path over loopback in tests.

--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -39,6 +39,10 @@
 SUBSCRIBE_PERIOD_S = 1.0
 """Agents forget an entry after 3 s."""
 
+ENTRIES_MEMORY_S = 10.0
+"""Window of the retry budget: an entry that has gone may have used its share
+within it."""
+
 MAX_CONNECTIONS = 900
 """Of 1,535 descriptors 200 are kept for files; the rest goes to targets."""
 
@@ -50,8 +54,13 @@
 MAX_WAIT_S = 6.0
 """Longest wait of one call for a target; its own deadline is shorter."""
 
-EXPECTED_ENTRIES = 8
-"""Entries that share the retry budget while their number is not known."""
+UNKNOWN_ENTRIES = 16
+"""Entries that share a budget while their number is not known: more than a
+deployment of today's size has."""
+
+BUDGET_SHARE = 0.8
+"""Part of the retry budget that is used: entries may see different numbers
+of each other, and a restarted one forgets what it spent."""
 
 
 class OpenAdmission:
@@ -136,6 +145,8 @@
             http.operator_routes(self._not_ready_reason),
             f'{cfg.ip}:{METRICS_PORT}',
         )
+        self._entries = 0
+        self._entries_heard: dict[str, tuple[float, int]] = {}
         self._port = cfg.internal_ports[0]
         self._endpoint = endpoint.Endpoint(messages.ALL)
         self._endpoint.on(messages.LoadReport, self._heard_load)
@@ -150,7 +161,11 @@
         await self._endpoint.open(self._cfg.ip, self._port)
         self._tasks.append(lifecycle.background(self._subscribe()))
         await self._operators.start()
-        await self._metrics.start()
+        try:
+            await self._metrics.start()
+        except OSError as exc:
+            # Calls are served without metrics, too.
+            decisions.log('metrics_unavailable', reason=str(exc))
         await self._callers.start()
         decisions.log('started', address=self._cfg.callers_address)
 
@@ -200,6 +215,14 @@
             await asyncio.sleep(SUBSCRIBE_PERIOD_S)
 
     def _heard_load(self, message: messages.LoadReport, ip: str) -> None:
+        # Agents that cannot hear some of the entries name too few.
+        self._entries_heard[ip] = (time.monotonic(), message.entries)
+        oldest_s = time.monotonic() - ENTRIES_MEMORY_S
+        self._entries = max(
+            count
+            for heard_s, count in self._entries_heard.values()
+            if heard_s >= oldest_s
+        )
         for record in self._directory.all_targets():
             if record.address == message.target:
                 self._targets.take_report(
@@ -221,8 +244,12 @@
 
     def _new_budget(self) -> budget.RetryPolicy:
         bounds = self._cfg.bounds
-        slack_per_s = bounds.retry_slack / bounds.retry_window_s
-        return budget.RetryBudget(
-            ratio=bounds.retry_ratio / 2,
-            min_per_s=slack_per_s / 2 / EXPECTED_ENTRIES,
+        return budget.RETRY_POLICIES['window'](
+            bounds.retry_ratio * BUDGET_SHARE,
+            lambda: bounds.retry_slack * BUDGET_SHARE / self._entry_count(),
+            bounds.retry_window_s,
         )
+
+    def _entry_count(self) -> int:
+        """Return how many entries share the bounds of the deployment."""
+        return self._entries or UNKNOWN_ENTRIES
--- a/src/wagtailhollow/internal/retries/budget.py
+++ b/src/wagtailhollow/internal/retries/budget.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import time
 from collections.abc import Callable
 from typing import Protocol
@@ -89,6 +90,54 @@
         self._refilled_at_s = now_s
 
 
+@retry_policy('window')
+class WindowBudget:
+    """A share of the calls of a sliding window, and a fixed number beside.
+
+    Unlike :class:`RetryBudget` it lets a burst through after a quiet time,
+    as when a group of targets is lost with all its streams.
+    """
+
+    def __init__(
+        self,
+        ratio: float = RETRY_RATIO,
+        extra: Callable[[], float] = lambda: 0.0,
+        window_s: float = 10.0,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Create a budget.
+
+        :param extra: returns the retries allowed in a window beside the
+            share of its calls.
+        """
+        self._ratio = ratio
+        self._extra = extra
+        self._window_s = window_s
+        self._clock = clock
+        self._calls: collections.deque[float] = collections.deque()
+        self._retries: collections.deque[float] = collections.deque()
+
+    def first_attempt(self) -> None:
+        """Count a first attempt."""
+        self._calls.append(self._clock())
+        self._forget()
+
+    def try_spend(self) -> bool:
+        """Spend one retry; return False if the budget is used up."""
+        self._forget()
+        allowed = self._ratio * len(self._calls) + self._extra()
+        if len(self._retries) + 1 > allowed:
+            return False
+        self._retries.append(self._clock())
+        return True
+
+    def _forget(self) -> None:
+        oldest_s = self._clock() - self._window_s
+        for times_s in (self._calls, self._retries):
+            while times_s and times_s[0] < oldest_s:
+                times_s.popleft()
+
+
 @retry_policy('unlimited')
 class UnlimitedRetries:
     """Plain alternative: every failed attempt is repeated."""
--- /dev/null
+++ b/standins/deployed.py
@@ -0,0 +1,388 @@
+"""The users' platform in small: its object store, engines and an entry.
+
+They speak the published protocol over loopback, in the process of the test.
+Each host has an address of its own in 127.0.0.0/8, as ports are the same on
+all hosts.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import json
+from collections.abc import AsyncIterator, Iterable
+from typing import Any
+
+import aiohttp
+from starlette import applications, requests, responses, routing
+
+from wagtailhollow.internal.entry.direct import compose
+from wagtailhollow.internal.platform import settings
+
+from . import serving
+
+_HOSTS = itertools.count(2)
+SERVICE = 'svc-engines'
+PLAIN = 'svc-records'
+HOST_NAME = 'a.example'
+KEY = 'key-1'
+EVENTS = 8
+RECEIPT = 'x-engine-signature'
+
+
+def new_ip() -> str:
+    """Return a loopback address that no other host of this run has."""
+    number = next(_HOSTS)
+    return f'127.{1 + number // 62_500}.{number // 250 % 250}.{number % 250}'
+
+
+class Server:
+    """One starlette application on an address, in this event loop."""
+
+    def __init__(self, routes: Iterable[routing.Route], ip: str, port: int):
+        self.address = f'{ip}:{port}'
+        self._server = serving.server(
+            applications.Starlette(routes=list(routes)), ip, port
+        )
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self._task = asyncio.create_task(self._server.serve())
+        while not self._server.started:
+            await asyncio.sleep(0.005)
+
+    async def stop(self) -> None:
+        """Close the address and its connections."""
+        self._server.should_exit = True
+        self._server.force_exit = True
+        await asyncio.gather(self._task, return_exceptions=True)
+
+
+class ObjectStore:
+    """Objects by kind and name, with a watch and faults.
+
+    :ivar mode: ``ok``, ``busy`` (503), ``silent`` or ``gone`` (410).
+    """
+
+    def __init__(self) -> None:
+        self.mode = 'ok'
+        self.calls = 0
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._log: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._revision = 10
+        self._changed = asyncio.Event()
+        self.server = Server(
+            [routing.Route('/objects/{kind}', self._get)], new_ip(), 8223
+        )
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Create or replace an object."""
+        self._revision += 1
+        item = {
+            'metadata': {'name': name, 'revision': self._revision},
+            'spec': spec,
+            'status': None,
+        }
+        self._objects.setdefault(kind, {})[name] = item
+        self._note(kind, item, False)
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self._revision += 1
+        item = self._objects[kind].pop(name)
+        self._note(kind, item, True)
+
+    def _note(self, kind: str, item: dict[str, Any], removed: bool) -> None:
+        self._log.append((self._revision, kind, item, removed))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _get(self, req: requests.Request) -> responses.Response:
+        self.calls += 1
+        kind = req.path_params['kind']
+        if self.mode == 'silent':
+            await asyncio.sleep(3600)
+        if self.mode == 'busy':
+            return responses.Response(status_code=503)
+        if 'watch' not in req.query_params:
+            items = list(self._objects.get(kind, {}).values())
+            return self._answer(items=items, has_more=False)
+        if self.mode == 'gone':
+            self.mode = 'ok'
+            return responses.Response(status_code=410)
+        return await self._watch(kind, req.query_params)
+
+    async def _watch(self, kind: str, query: Any) -> responses.Response:
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + int(query['wait_ms']) / 1000
+        while True:
+            events = [
+                {'object': item, 'removed': removed}
+                for revision, of, item, removed in self._log
+                if of == kind and revision > int(query['watch'])
+            ]
+            left_s = end_s - loop.time()
+            if self.mode == 'busy':
+                return responses.Response(status_code=503)
+            if (events or left_s <= 0) and self.mode == 'ok':
+                return self._answer(events=events)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(0.01, min(left_s, 0.05))):
+                    await self._changed.wait()
+
+    def _answer(self, **fields: Any) -> responses.Response:
+        return responses.JSONResponse(
+            fields | {'store_revision': self._revision}
+        )
+
+
+@dataclasses.dataclass
+class Seen:
+    """One request as an engine got it."""
+
+    request_id: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    ended: bool = False
+
+
+class Engine:
+    """An engine whose next answers can be told.
+
+    ``behaviours`` are used up one a request: ``shed`` (not executed),
+    ``fail`` (500), ``wrong`` (421), ``cut`` (no answer), ``break`` (a stream
+    ends in the middle of an event), ``hang``, ``bare`` (no receipt).
+    """
+
+    def __init__(self, name: str, service: str) -> None:
+        self.name = name
+        self.service = service
+        self.behaviours: list[str] = []
+        self.seen: list[Seen] = []
+        self.gap_s = 0.0
+        self.server = Server(
+            [
+                routing.Route(
+                    '/{path:path}', self._serve, methods=['GET', 'POST']
+                )
+            ],
+            new_ip(),
+            8080,
+        )
+
+    def registration(self, **fields: Any) -> dict[str, Any]:
+        """Return what the engine writes to the store."""
+        return {
+            'service': self.service,
+            'address': self.server.address,
+            'zone': 'dc-1',
+            'version': 'v1',
+            'slots': 6,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            'born': 1788078915000,
+            'seq': 1,
+        } | fields
+
+    async def _serve(self, req: requests.Request) -> responses.Response:
+        behaviour = self.behaviours.pop(0) if self.behaviours else 'ok'
+        seen = Seen(
+            req.headers['x-request-id'],
+            req.scope['raw_path'].decode(),
+            dict(req.headers),
+            await req.body(),
+        )
+        self.seen.append(seen)
+        echo = {'x-request-id': seen.request_id}
+        if behaviour == 'shed':
+            return responses.Response(
+                status_code=503, headers=echo | {'x-not-executed': '1'}
+            )
+        if behaviour == 'wrong':
+            return responses.Response(status_code=421, headers=echo)
+        headers = echo | {RECEIPT: f'{self.name}.1', 'x-engine-load': '1,0,6'}
+        if behaviour == 'fail':
+            return responses.Response(
+                b'failed', status_code=500, headers=headers
+            )
+        if behaviour == 'bare':
+            return responses.Response(b'bare', headers=echo)
+        if behaviour == 'hang':
+            await self._hang(req, seen)
+        if behaviour in ('cut', 'hang'):
+            req.scope['abort_connection']()
+            return responses.Response()
+        if self.service == PLAIN:
+            return responses.Response(
+                f'answer to {seen.path}'.encode(), headers=headers
+            )
+        return responses.StreamingResponse(
+            self._events(req, seen, behaviour),
+            headers=headers,
+            media_type='text/event-stream',
+        )
+
+    async def _hang(self, req: requests.Request, seen: Seen) -> None:
+        while not await req.is_disconnected():
+            await asyncio.sleep(0.01)
+        seen.ended = True
+
+    async def _events(
+        self, req: requests.Request, seen: Seen, behaviour: str
+    ) -> AsyncIterator[bytes]:
+        first = int(seen.headers.get('last-event-id', 0)) + 1
+        for number in range(first, EVENTS + 1):
+            event = event_bytes(number)
+            if behaviour == 'break' and number == EVENTS // 2:
+                yield event[:6]
+                req.scope['abort_connection']()
+                return
+            yield event
+            await asyncio.sleep(self.gap_s)
+
+
+def event_bytes(number: int) -> bytes:
+    """Return the event that every engine sends under a number."""
+    return f'id: {number}\ndata: token {number}\n\n'.encode()
+
+
+STREAM = b''.join(map(event_bytes, range(1, EVENTS + 1)))
+
+
+def manifest(version: int = 1, keys: Iterable[str] = (KEY,)) -> dict[str, Any]:
+    """Return a manifest with one route of each kind."""
+    kinds = {
+        'stream': ('streaming', SERVICE),
+        'once': ('unsafe', PLAIN),
+        'safe': ('safe', PLAIN),
+    }
+    return {
+        'version': version,
+        'routes': [
+            {
+                'name': name,
+                'host': HOST_NAME,
+                'path_prefix': f'/{name}/',
+                'kind': kind,
+                'timeout_ms': 3000,
+                'target_latency_ms': 500,
+                'service': service,
+                'max_attempts': 2,
+                'public': name == 'safe',
+                'resumable': name == 'stream',
+                'target_gap_ms': 120,
+            }
+            for name, (kind, service) in kinds.items()
+        ],
+        'services': [{'name': SERVICE}, {'name': PLAIN}],
+        'limits': {
+            'max_header_bytes': 16384,
+            'max_body_bytes': 65536,
+            'header_timeout_ms': 3000,
+            'idle_timeout_ms': 15000,
+        },
+        'tenants': [{'name': 'org-1', 'api_keys': list(keys)}],
+    }
+
+
+def host_settings(store: str, ip: str, **fields: Any) -> dict[str, Any]:
+    """Return the platform's settings of one process."""
+    bounds = {
+        'revoke_ms': 2500,
+        'strict_revocation': True,
+        'retry_budget_ratio': 0.2,
+        'retry_budget_slack': 180,
+        'budget_window_s': 10,
+        'cold_overage': 1.5,
+        'cold_slack': 5,
+        'grace_s': 8,
+        'stall_ms': 1500,
+    }
+    return {
+        'node_name': f'host-{ip}',
+        'ip': ip,
+        'zone': 'dc-1',
+        'region': 'region-1',
+        'zones': {'dc-1': 'region-1'},
+        'internal_ports': [7340, 7355],
+        'listen': {'front': f'{ip}:8227', 'readiness': f'{ip}:8220'},
+        'platform': {'address': store},
+        'bounds': bounds | fields,
+    }
+
+
+class Deployed:
+    """A store, two engines of each service and one entry."""
+
+    def __init__(self) -> None:
+        self.store = ObjectStore()
+        self.engines = [
+            Engine(f'i-{service}-{number}', service)
+            for service in (SERVICE, PLAIN)
+            for number in (1, 2)
+        ]
+        self.ip = new_ip()
+        self.session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Deployed:
+        """Start all parts; the entry is ready."""
+        await self.store.server.start()
+        self.store.put('config', 'main', manifest())
+        for engine in self.engines:
+            await engine.server.start()
+            self.store.put('servers', engine.name, engine.registration())
+        row = host_settings(self.store.server.address, self.ip)
+        self.entry = compose.DirectEntry(settings.decode(row))
+        await self.entry.start()
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        async with asyncio.timeout(5):
+            while await self.readiness() != 200:
+                await asyncio.sleep(0.02)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        """Stop all parts."""
+        await self.session.close()
+        await self.entry.stop()
+        for engine in self.engines:
+            await engine.server.stop()
+        await self.store.server.stop()
+
+    def of(self, service: str) -> list[Engine]:
+        """Return the engines of a service."""
+        return [item for item in self.engines if item.service == service]
+
+    def runs(self, service: str) -> int:
+        """Return how many requests its engines got."""
+        return sum(len(engine.seen) for engine in self.of(service))
+
+    async def readiness(self) -> int:
+        """Return the status of the entry's readiness."""
+        url = f'http://{self.ip}:8220/readyz'
+        async with self.session.get(url) as resp:
+            return resp.status
+
+    def call(
+        self,
+        route: str,
+        request_id: str = 'r1',
+        key: str = KEY,
+        path: str = 'p',
+        **headers: str,
+    ):
+        """Send a request of a consumer; a context manager."""
+        return self.session.post(
+            f'http://{self.ip}:8227/{route}/{path}',
+            data=json.dumps({'n': 1}),
+            headers={
+                'Host': HOST_NAME,
+                'X-Request-Id': request_id,
+                'X-Key': key,
+                'X-Deadline-Ms': '2500',
+            }
+            | {name.replace('_', '-'): text for name, text in headers.items()},
+        )
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import contextlib
 from collections.abc import Callable
 
 import uvicorn
@@ -26,6 +27,27 @@
         self.scope['abort_connection'] = self.transport.abort
 
 
+def server(
+    app: applications.Starlette, host: str, port: int
+) -> uvicorn.Server:
+    """Return a server for an application; it does not handle signals."""
+    cfg = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        log_level='warning',
+        access_log=False,
+        http=AbortableProtocol,
+        timeout_graceful_shutdown=1,
+        # Longer than any pause of a test between two requests, or a request
+        # may be sent on a connection that is being closed.
+        timeout_keep_alive=75,
+    )
+    result = uvicorn.Server(cfg)
+    result.capture_signals = contextlib.nullcontext
+    return result
+
+
 def run(create: Callable[[], applications.Starlette], port: int) -> None:
     """Serve the application on loopback until the process is ended."""
     uvicorn.run(
--- a/tests/cover/test_retries.py
+++ b/tests/cover/test_retries.py
@@ -138,3 +138,32 @@
         raise AssertionError('the second attempt was started')
 
     assert race(answering('slow', 0.1), second, allowed=False) == b'slow'
+
+
+def window_budget(now, extra=4.0):
+    return budget.WindowBudget(0.2, lambda: extra, 10.0, lambda: now[0])
+
+
+def test_window_budget_never_exceeds_its_share_of_any_window():
+    """Guards against retries of all entries that exceed the agreed bound."""
+    now = [0.0]
+    retries = window_budget(now)
+    times = []
+    for _ in range(3_000):
+        now[0] += 0.03
+        retries.first_attempt()
+        while retries.try_spend():
+            times.append(now[0])
+    calls = 10.0 / 0.03 + 1
+    for start in times:
+        inside = sum(start <= at < start + 10.0 for at in times)
+        assert inside <= 0.2 * calls + 4.0 + 1
+
+
+def test_window_budget_lets_a_burst_through_after_a_quiet_time():
+    """Guards against streams lost with a group though retries were saved."""
+    now = [100.0]
+    retries = window_budget(now, extra=8.0)
+    assert [retries.try_spend() for _ in range(10)] == [True] * 8 + [False] * 2
+    now[0] += 10.1
+    assert retries.try_spend()
