Stop accepting 2.5 s after SIGTERM and finish what was begun

Cause: a draining entry went on accepting until nothing was in progress; requests that kept coming kept it alive until SIGKILL, which cut those under way.

--- a/src/wagtailhollow/internal/daemon/http.py
+++ b/src/wagtailhollow/internal/daemon/http.py
@@ -58,11 +58,13 @@
         address: str,
         max_connections: int = 1_024,
         protocol: str | type[asyncio.Protocol] = 'httptools',
+        graceful_timeout_s: float = GRACEFUL_TIMEOUT_S,
     ) -> None:
         """Create the server.
 
         :param max_connections: further ones get 503, unless *protocol* is a
             class, which then has to bound them.
+        :param graceful_timeout_s: time for answers under way when it stops.
         """
         host, _, port = address.rpartition(':')
         cfg = uvicorn.Config(
@@ -77,7 +79,7 @@
             limit_concurrency=(
                 max_connections if isinstance(protocol, str) else None
             ),
-            timeout_graceful_shutdown=GRACEFUL_TIMEOUT_S,
+            timeout_graceful_shutdown=graceful_timeout_s,
             timeout_keep_alive=KEEP_ALIVE_S,
         )
         self._server = uvicorn.Server(cfg)
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -46,11 +46,13 @@
 MAX_CONNECTIONS = 900
 """Of 1,535 descriptors 200 are kept for files; the rest goes to targets."""
 
-ROTATION_S = 3.2
+ROTATION_S = 2.5
 """The balancer takes an entry out after two checks, a second apart; callers
 on open connections leave with the answer to their next request."""
 
-STOP_MARGIN_S = 0.7
+STOP_MARGIN_S = 0.5
+"""Part of the time to SIGKILL kept for the end of the process."""
+
 MAX_WAIT_S = 6.0
 """Longest wait of one call for a target; its own deadline is shorter."""
 
@@ -136,6 +138,9 @@
             [routing.Mount('/', self._app)],
             cfg.callers_address,
             protocol=http_protocol.bounded_protocol(limits, self._app),
+            graceful_timeout_s=max(
+                0.0, cfg.bounds.grace_s - ROTATION_S - STOP_MARGIN_S
+            ),
         )
         self._operators = http.HttpServer(
             http.operator_routes(self._not_ready_reason),
@@ -173,11 +178,10 @@
         """See :class:`lifecycle.Daemon`."""
         self._app.draining = True
         decisions.log('draining', in_progress=self._app.in_progress)
-        end_s = time.monotonic() + self._cfg.bounds.grace_s - STOP_MARGIN_S
         await asyncio.sleep(ROTATION_S)
-        while self._app.in_progress and time.monotonic() < end_s:
-            await asyncio.sleep(0.05)
-        await self._callers.flush()
+        # Requests that still arrive would never let the work end: from here
+        # on only what was begun is finished.
+        await self._callers.stop()
 
     async def stop(self) -> None:
         """See :class:`lifecycle.Daemon`."""
--- a/tests/cover/test_direct_entry.py
+++ b/tests/cover/test_direct_entry.py
@@ -264,3 +264,32 @@
         drain.cancel()
 
     play(scenario)
+
+
+def test_stopping_entry_answers_every_request_that_it_took():
+    """Guards against requests taken late and dropped with the process."""
+
+    async def scenario(site):
+        for engine in site.of(deployed.PLAIN):
+            engine.behaviours = ['hang'] * 1000
+        results = []
+
+        async def ask(number):
+            try:
+                async with site.call(
+                    'once', f'r{number}', X_Deadline_Ms='700'
+                ) as resp:
+                    results.append(resp.status)
+            except aiohttp.ClientConnectorError:
+                results.append('not accepted')
+
+        drain = asyncio.create_task(site.entry.drain())
+        asks = []
+        while not drain.done():
+            asks.append(asyncio.create_task(ask(len(asks))))
+            await asyncio.sleep(0.05)
+        await asyncio.gather(*asks)
+        await drain
+        assert set(results) == {504, 'not accepted'}
+
+    play(scenario)
