--- a/src/wagtailhollow/internal/agent/direct/compose.py
+++ b/src/wagtailhollow/internal/agent/direct/compose.py
@@ -9,11 +9,12 @@
 
 import asyncio
 import time
+from collections.abc import Collection
 
 from ...daemon import lifecycle
 from ...datagram import endpoint, messages
 from ...directory import changes, model
-from ...experts import paced, planner
+from ...experts import observation, paced, placement, planner
 from ...experts.live import coordinator, demand, packing, rank
 from ...experts.live import model as live
 from ...hostcfg import model as hostcfg
@@ -36,13 +37,17 @@
 """Three may be lost before an agent counts as lost."""
 
 DETAIL_PERIOD_S = 0.2
-"""Experts and demand, about 500 bytes, go to the coordinator only."""
+DETAIL_GROUP_SIZE = 8
+"""Experts and demand go to the coordinator only, from each rank of a group of
+this size in a period, from those of larger groups less often: 32 ranks with
+1.6 KB each would fill half of a link of 4 Mbit/s."""
 
 SUBSCRIPTION_S = 3.0
 REPORT_PERIOD_S = 0.15
 REMOTE_TIMEOUT_S = 0.15
 """As for the own engine, and the way to another data centre and back."""
 
+PLANNER = 'paced'
 NEW_EXPERTS_PER_RANK = 4
 """New weights of a rank in one plan: they arrive in 0.6 s."""
 
@@ -73,9 +78,7 @@
             self._view,
             self,
             lambda address: engine.EngineClient(address, REMOTE_TIMEOUT_S),
-            planner.PLANNERS['paced'](
-                planner.Costs(spare_slots=NEW_EXPERTS_PER_RANK)
-            ),
+            self,
             self._layout,
         )
         self._records: dict[str, model.TargetRecord] = {}
@@ -112,12 +115,29 @@
         self._engine.close()
         decisions.log('stopping')
 
-    def publish(self, intent: messages.Intent) -> None:
+    def publish(
+        self, intent: messages.Intent, addresses: Collection[str]
+    ) -> None:
         """See :class:`coordinator.Messenger`."""
         self._driver.take(intent)
-        self._endpoint.send(intent, self._group_ips(), self._port)
+        ips = {item.rpartition(':')[0] for item in addresses}
+        to = ips - {self._cfg.ip} if addresses else self._group_ips()
+        self._endpoint.send(intent, to, self._port)
         self._hurry()
 
+    def plan(
+        self,
+        current: placement.Placement,
+        seen: observation.Observation,
+        now_s: float,
+    ) -> planner.Plan:
+        """Plan within the limits of the service; a planner.Planner."""
+        layout = self._service.engine.experts
+        costs = planner.Costs(
+            spare_slots=layout.spare, rank_budget=NEW_EXPERTS_PER_RANK
+        )
+        return planner.PLANNERS[PLANNER](costs).plan(current, seen, now_s)
+
     def _layout(self) -> tuple[int, int] | None:
         service = self._service
         if service is None or service.engine is None:
@@ -231,7 +251,9 @@
         key = (status.epoch, status.map_version, leader)
         if key != self._detailed or now_s >= self._detailed_until_s:
             self._detailed = key
-            self._detailed_until_s = now_s + DETAIL_PERIOD_S
+            self._detailed_until_s = now_s + DETAIL_PERIOD_S * max(
+                1.0, status.size / DETAIL_GROUP_SIZE
+            )
             status.experts = experts
             status.demand = packing.pack_counts(self._demand.counts())
         if leader and leader != self._cfg.ip:
--- a/src/wagtailhollow/internal/datagram/messages.py
+++ b/src/wagtailhollow/internal/datagram/messages.py
@@ -52,6 +52,7 @@
     ('armed_version', TType.I64, NONE),
     ('armed_step', TType.I64, NONE),
     ('held_step', TType.I64, NONE),
+    ('ordered_version', TType.I64, NONE),
     ('refused_version', TType.I64, NONE),
     ('experts', TType.STRING, b''),
     ('demand', TType.STRING, b''),
@@ -65,9 +66,10 @@
     :ivar step: last step that was begun.
     :ivar prepared: version whose weights have all arrived.
     :ivar held_step: step that does not begin before its release.
+    :ivar ordered_version: last version whose weights were ordered.
     :ivar refused_version: version that the engine did not accept.
     :ivar experts: experts of this rank, see :mod:`..experts.live.packing`.
-    :ivar demand: how often each expert was chosen lately, as 16-bit numbers.
+    :ivar demand: how often each expert was chosen lately, packed.
     """
 
 
--- a/src/wagtailhollow/internal/directory/follow.py
+++ b/src/wagtailhollow/internal/directory/follow.py
@@ -59,15 +59,19 @@
         source: changes.ChangeSource[T],
         apply: Callable[[Update[T]], None],
         wait_s: float,
+        batch_s: float = 0.0,
     ) -> None:
         """Create a follower.
 
         :param wait_s: how long the store holds a watch without changes.
+        :param batch_s: pause after a change, so that several changes come
+            with one call.
         """
         self._kind = kind
         self._source = source
         self._apply = apply
         self._wait_s = wait_s
+        self._batch_s = batch_s
         self._revision: int | None = None
         self._failing_since_s: float | None = None
         self._outage_ended_s = -LAPSE_MEMORY_S
@@ -107,6 +111,7 @@
         if found.documents:
             self._take(found.documents, found.revision, False)
             self.confirmed_s = max(self.confirmed_s or 0.0, asked_s)
+            await asyncio.sleep(self._batch_s)
         else:
             # The store answers an empty watch only when its time is over.
             self.confirmed_s = min(asked_s + self._wait_s, suspend_aware_now())
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -32,6 +32,9 @@
 OTHER_WAIT_S = 2.5
 """A watch that went silent is noticed after this and the call's time-out."""
 
+TARGETS_BATCH_S = 0.25
+"""Targets come and go in numbers; calls must stop 2 s after one leaves."""
+
 METRICS_PORT = 9464
 """Port of the metrics, named in deploy/system.toml; the usual one of
 Prometheus exporters of applications."""
@@ -95,6 +98,7 @@
                 ),
                 self._directory.apply_targets,
                 OTHER_WAIT_S,
+                TARGETS_BATCH_S,
             ),
             follow.Follower(
                 'withdrawals',
--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -18,7 +18,7 @@
 import asyncio
 import math
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
 
 from ...datagram import messages
@@ -33,8 +33,9 @@
 REPEAT_S = 0.05
 """Period of intents and direct orders while ranks have to follow."""
 
-PREPARE_REPEAT_S = 0.2
-"""The same while weights arrive; the message has the whole map."""
+PREPARE_REPEAT_S = 0.25
+"""The same while weights arrive; the message has the whole map, and a status
+shows within 0.1 s that it came."""
 
 HOLD_MARGIN_S = 0.06
 """Time for all ranks to be armed before the held step begins: a message each
@@ -49,6 +50,9 @@
 """Below the 1.5 s after which a stalled engine ends its work."""
 
 RESOLVE_TIMEOUT_S = 1.0
+INLINE_RANKS = 8
+"""Ranks up to which a plan takes less than 0.05 s."""
+
 TERM_STEP = 256
 """Terms of different ranks differ; a group has at most 256 ranks."""
 
@@ -62,8 +66,13 @@
 class Messenger(Protocol):
     """Sends intents to the agents of a group."""
 
-    def publish(self, intent: messages.Intent) -> None:
-        """Send an intent to all agents of the group."""
+    def publish(
+        self, intent: messages.Intent, addresses: Collection[str]
+    ) -> None:
+        """Send an intent to the agents beside some engines.
+
+        :param addresses: addresses of the engines; empty for the whole group.
+        """
 
 
 class GroupView:
@@ -223,7 +232,7 @@
                     if self._intent.phase == model.Phase.PREPARE
                     else REPEAT_S
                 )
-                self._messenger.publish(self._intent)
+                self._messenger.publish(self._intent, self._unaware(statuses))
                 await self._drive_missing()
             self._view.changed.clear()
             try:
@@ -234,6 +243,21 @@
             except TimeoutError:
                 continue
 
+    def _unaware(self, statuses: Mapping[int, Status]) -> list[str]:
+        """Return the engines whose agents still need the present intent.
+
+        A map is long, so only those get it again that did not order it.
+        """
+        if self._intent.phase != model.Phase.PREPARE:
+            return []
+        version = self._intent.version
+        return [
+            address
+            for number, address in self._view.addresses.items()
+            if number not in statuses
+            or statuses[number].ordered_version != version
+        ] or [self._view.addresses.get(self._own_status().rank, '')]
+
     def _check(self) -> None:
         own = self._own_status()
         if (own.group, own.epoch) != self._epoch or not own.is_open:
@@ -362,7 +386,7 @@
             self._want(
                 model.Phase.ABORT,
                 version=version,
-                experts=bytes((len(current),)) + b''.join(current),
+                experts=packing.join_ranks(current),
             )
             if await self._until(
                 lambda s, v=version: (
@@ -388,7 +412,12 @@
 
     async def _improve(self, statuses: Mapping[int, Status]) -> None:
         """Plan, and switch if it pays."""
-        plan = self._plan(statuses)
+        if len(statuses) <= INLINE_RANKS:
+            plan = self._plan(statuses)
+        else:
+            # Statuses must go out while a large map is planned.
+            plan = await asyncio.to_thread(self._plan, statuses)
+            self._check()
         if plan is None:
             return
         version = self._new_version(statuses)
--- a/src/wagtailhollow/internal/experts/live/packing.py
+++ b/src/wagtailhollow/internal/experts/live/packing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import struct
+import zlib
 from collections.abc import Sequence
 
 from .model import Layers
@@ -35,11 +36,24 @@
 
 def pack_map(ranks: Sequence[Layers]) -> bytes:
     """Return the experts of all ranks as bytes, with their number."""
-    return bytes((len(ranks),)) + b''.join(map(pack_rank, ranks))
+    return join_ranks([pack_rank(layers) for layers in ranks])
+
+
+def join_ranks(ranks: Sequence[bytes]) -> bytes:
+    """Return a map of ranks that are packed already.
+
+    Compressed: 32 ranks with 12 layers have 2.3 KB, and a message to each of
+    them has to pass a link of 4 Mbit/s.
+    """
+    return zlib.compress(bytes((len(ranks),)) + b''.join(ranks))
 
 
 def unpack_map(data: bytes) -> list[list[list[int]]]:
     """Return the experts by rank and layer; raises ValueError."""
+    try:
+        data = zlib.decompress(data)
+    except zlib.error as exc:
+        raise ValueError(f'not a packed map: {exc}') from exc
     if not data or not data[0]:
         raise ValueError('a map has no ranks')
     rows = unpack_rank(data[1:])
--- a/src/wagtailhollow/internal/experts/live/rank.py
+++ b/src/wagtailhollow/internal/experts/live/rank.py
@@ -94,6 +94,7 @@
             armed_version=report.armed.version if report.armed else none,
             armed_step=report.armed.step if report.armed else none,
             held_step=none if report.held_step is None else report.held_step,
+            ordered_version=self._ordered_version,
             refused_version=self.refused_version,
             experts=packing.pack_rank(self.experts),
         )
--- a/src/wagtailhollow/internal/experts/paced.py
+++ b/src/wagtailhollow/internal/experts/paced.py
@@ -42,9 +42,11 @@
     ) -> planner.Plan:
         """See :meth:`planner.Planner.plan`."""
         ranks = len(current.layers[0].slots)
-        budget = [self._costs.spare_slots] * ranks
+        budget = [self._costs.rank_budget] * ranks
         searches = [
-            search.LayerSearch(layer, counts, budget, HOT_SLOTS)
+            search.LayerSearch(
+                layer, counts, budget, HOT_SLOTS, self._costs.spare_slots
+            )
             for layer, counts in zip(current.layers, seen.layers, strict=True)
             if counts is not None and sum(counts)
         ]
--- a/src/wagtailhollow/internal/experts/planner.py
+++ b/src/wagtailhollow/internal/experts/planner.py
@@ -35,6 +35,7 @@
     :ivar weights_per_s: expert weights a second from the weight store.
     :ivar max_staging_s: longest staging of one plan.
     :ivar spare_slots: weights that a rank can stage in a layer.
+    :ivar rank_budget: weights that a rank can stage in one plan.
     """
 
     horizon_s: float = 120.0
@@ -43,6 +44,7 @@
     weights_per_s: float = 100.0
     max_staging_s: float = 10.0
     spare_slots: int = 2
+    rank_budget: int = 4
 
 
 @dataclasses.dataclass(frozen=True)
--- a/src/wagtailhollow/internal/experts/search.py
+++ b/src/wagtailhollow/internal/experts/search.py
@@ -55,6 +55,7 @@
         tokens: Sequence[float],
         spare_slots: int | list[int],
         hot_slots: int = HOT_SLOTS,
+        layer_limit: int | None = None,
     ) -> None:
         """Prepare a search.
 
@@ -62,6 +63,8 @@
             weights need a slot of their own until the switch; a list by rank
             is counted down and may be shared by the layers.
         :param hot_slots: slots of the fullest rank that are tried.
+        :param layer_limit: changes allowed for each rank in this layer; None
+            for no limit beside *spare_slots*.
         """
         self.rows = [list(row) for row in layer.slots]
         self._tokens = tokens
@@ -78,6 +81,8 @@
             else [spare_slots] * len(self.rows)
         )
         self._hot_slots = hot_slots
+        limit = sum(self._spare) if layer_limit is None else layer_limit
+        self._layer_spare = [limit] * len(self.rows)
         self._options = 0
 
     def skew(self) -> float:
@@ -140,7 +145,7 @@
             (
                 rank
                 for rank in range(len(self.rows))
-                if rank != hot and self._spare[rank]
+                if rank != hot and self._may_change(rank)
             ),
             key=self.loads.__getitem__,
         )
@@ -169,12 +174,15 @@
             changes += (SlotChange(hot, slot, self.rows[rank][other]),)
         return changes
 
+    def _may_change(self, rank: int) -> bool:
+        return self._spare[rank] > 0 and self._layer_spare[rank] > 0
+
     def _swap_gain(self, hot: int, slot: int, rank: int, other: int) -> float:
         """Return by how much the fuller of both ranks falls; 0 if barred."""
         evicted = self.rows[rank][other]
         if (
             evicted == placement.EMPTY
-            or not self._spare[hot]
+            or not self._may_change(hot)
             or evicted in self.rows[hot]
         ):
             return 0.0
@@ -230,6 +238,7 @@
             self.rows[item.rank][item.slot] = item.expert
             self._holders[item.expert].append(item.rank)
             self._spare[item.rank] -= 1
+            self._layer_spare[item.rank] -= 1
         for expert in touched:
             self._add_load(expert, self._share(expert))
 
--- a/standins/live_group.py
+++ b/standins/live_group.py
@@ -12,7 +12,7 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from wagtailhollow.internal.daemon import lifecycle
 from wagtailhollow.internal.datagram import messages
@@ -246,11 +246,15 @@
             task.cancel()
         self._tasks = []
 
-    def publish(self, intent: messages.Intent) -> None:
+    def publish(
+        self, intent: messages.Intent, addresses: Collection[str]
+    ) -> None:
         """See :class:`coordinator.Messenger`."""
         self.driver.take(intent)
         for agent in self._group.agents:
-            if agent is not self:
+            if agent is not self and (
+                not addresses or str(agent.number) in addresses
+            ):
                 self._group.deliver(self, agent, intent)
 
     def receive(self, message: messages.Intent | messages.RankStatus) -> None:
