--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -22,7 +22,7 @@
 
 Receive = Callable[[], Awaitable[Mapping[str, Any]]]
 
-ROUTING_POLICY = 'least_loaded'
+ROUTING_POLICY = 'power_of_two'
 START_RETRY_S = 0.5
 """Retry-After of an entry without a configuration: it reads one in about
 half a second once the store answers."""
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -18,12 +18,12 @@
 from ...platform import manifest, store
 from ...platform import targets as registrations
 from ...retries import budget
-from ...routing import least_loaded
+from ...routing import power_of_two
 from ...settings import schema
 from .. import calls, http_protocol
 from . import app, attempts, freshness, routed, targets
 
-_POLICIES = (least_loaded,)
+_POLICIES = (power_of_two,)
 
 MANIFEST_WAIT_S = 1.5
 """A watch that returns proves the manifest's age, which has to stay well
--- /dev/null
+++ b/tests/cover/test_direct_targets.py
@@ -0,0 +1,96 @@
+"""What an entry knows of the load of targets that it calls itself."""
+
+from __future__ import annotations
+
+import random
+import types
+
+import pytest
+
+from wagtailhollow.internal.directory import follow, model, state
+from wagtailhollow.internal.entry.direct import targets
+from wagtailhollow.internal.routing import power_of_two
+
+SERVICE = 's'
+SLOTS = 6
+CALL = types.SimpleNamespace(service_name=SERVICE)
+
+
+def record(number):
+    return model.TargetRecord(
+        f'i-{number}',
+        1,
+        SERVICE,
+        f'10.0.0.{number}:80',
+        'dc-1',
+        SLOTS,
+        model.TargetState.READY,
+    )
+
+
+class Site:
+    """Some entries that see the same targets on one clock."""
+
+    def __init__(self, entries, count):
+        self.now = 100.0
+        self.records = [record(number) for number in range(count)]
+        directory = state.Directory(lambda: self.now)
+        documents = {item.name: item for item in self.records}
+        directory.apply_targets(follow.Update(documents, 1, True, False))
+        self.entries = [
+            targets.DirectTargets(directory, 'dc-1', clock=lambda: self.now)
+            for _ in range(entries)
+        ]
+
+
+def test_calls_between_two_reports_are_spread():
+    """Pattern: many entries, reports 150 ms old, one target looks idle.
+
+    Guards against entries that all choose the target with the lowest report.
+    """
+    rng = random.Random(7)
+    site = Site(entries=8, count=16)
+    policy = power_of_two.PowerOfTwo(rng)
+    running = {item.name: 3 for item in site.records}
+    running['i-0'] = 0
+    for entry in site.entries:
+        for name, count in running.items():
+            entry.take_report(name, count, 0)
+    for _ in range(8):
+        for entry in site.entries:
+            chosen = policy.choose(entry.candidates(CALL), '')
+            running[chosen.target] += 1
+            site.entries[0].started(record(0), CALL)
+            site.entries[0].finished(record(0), CALL)
+    # 64 calls on 16 targets: none may get over twice its share.
+    assert running['i-0'] <= 8
+
+
+def test_group_that_does_not_serve_gets_no_calls():
+    """Pattern: a group forms anew and turns everything away.
+
+    Guards against attempts that are used up while the group is closed.
+    """
+    site = Site(entries=1, count=2)
+    (entry,) = site.entries
+    entry.take_report('i-0', 0, 0, is_open=False)
+    names = {item.target for item in entry.candidates(CALL)}
+    assert names == {'i-1'}
+    entry.take_report('i-1', 0, 0, is_open=False)
+    assert not entry.is_connected(CALL)
+    site.now += targets.MAX_REPORT_AGE_S + 0.1
+    assert entry.is_connected(CALL)
+
+
+@pytest.mark.parametrize(('waiting', 'room'), [(0, True), (3, False)])
+def test_target_with_a_queue_has_no_room(waiting, room):
+    """Pattern: all slots are taken and calls wait at the target.
+
+    Guards against a call that waits behind others at one target while the
+    next free place is elsewhere.
+    """
+    site = Site(entries=1, count=1)
+    (entry,) = site.entries
+    entry.take_report('i-0', SLOTS, waiting)
+    (candidate,) = entry.candidates(CALL)
+    assert entry.has_room(candidate) is room
