Read changed settings, bound cold targets, refuse sooner what cannot be served

SIGHUP ended a process: it had no handler. A settings file that changes is read on the signal and without it; unusable contents leave the settings. Cold targets get at most this entry's part of their bound.

--- a/src/wagtailhollow/cli/deployed.py
+++ b/src/wagtailhollow/cli/deployed.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from .. import __version__
-from ..internal.daemon import lifecycle
+from ..internal.daemon import lifecycle, settings_watch
 from ..internal.hostcfg import model
 from ..internal.observability import decisions, logs
 from ..internal.platform import settings
@@ -22,7 +22,7 @@
 def run_daemon(
     program: str,
     description: str,
-    create: Callable[[model.HostSettings], lifecycle.Daemon],
+    create: Callable[[model.HostSettings], settings_watch.Adjustable],
     argv: Sequence[str] | None,
 ) -> int:
     """Parse, validate and run a daemon; return the exit code."""
@@ -56,4 +56,13 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD, 20, 50)
-    return asyncio.run(lifecycle.run(create(cfg)))
+    return asyncio.run(_run(create(cfg), file))
+
+
+async def _run(daemon: settings_watch.Adjustable, file: str) -> int:
+    watch = settings_watch.SettingsWatch(file, settings.load, daemon.adjust)
+    task = lifecycle.background(watch.run())
+    try:
+        return await lifecycle.run(daemon, watch.reload)
+    finally:
+        task.cancel()
--- a/src/wagtailhollow/internal/agent/direct/compose.py
+++ b/src/wagtailhollow/internal/agent/direct/compose.py
@@ -58,7 +58,7 @@
     def __init__(self, cfg: hostcfg.HostSettings) -> None:
         self._cfg = cfg
         self._port = cfg.internal_ports[0]
-        client = store.StoreClient(cfg.store_address)
+        client = self._client = store.StoreClient(cfg.store_address)
         self._targets = store.ObjectSource(
             client, registrations.KIND, registrations.decode, is_stale=True
         )
@@ -115,6 +115,10 @@
         self._engine.close()
         decisions.log('stopping')
 
+    def adjust(self, cfg: hostcfg.HostSettings) -> None:
+        """See :class:`settings_watch.Adjustable`."""
+        self._client.move(cfg.store_address)
+
     def publish(
         self, intent: messages.Intent, addresses: Collection[str]
     ) -> None:
--- a/src/wagtailhollow/internal/daemon/lifecycle.py
+++ b/src/wagtailhollow/internal/daemon/lifecycle.py
@@ -5,7 +5,7 @@
 import asyncio
 import secrets
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
 from absl import logging
@@ -24,10 +24,10 @@
         """Stop all parts."""
 
 
-async def run(daemon: Daemon) -> int:
+async def run(daemon: Daemon, reload: Callable[[], None] | None = None) -> int:
     """Run until SIGTERM or SIGINT, then drain; return the exit code.
 
-    A daemon with a method ``reload`` has it called on SIGHUP.
+    *reload* is called on SIGHUP, which ends the process without it.
 
     A second signal ends the drain at once.
     """
@@ -40,7 +40,6 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal)
-    reload = getattr(daemon, 'reload', None)
     if reload is not None:
         loop.add_signal_handler(signal.SIGHUP, reload)
     try:
--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -34,11 +34,14 @@
     :ivar max_rejections: attempts that targets may reject.
     :ivar do_rejections_spend: whether an attempt after a rejection draws on
         the retry budget.
+    :ivar max_wait_share: part of the time left that a call may wait for a
+        place; a caller that is refused sooner can still try again.
     :ivar new_budget: returns the retry budget of one service.
     """
 
     max_rejections: int = MAX_REROUTES
     do_rejections_spend: bool = False
+    max_wait_share: float = 1.0
     new_budget: Callable[[], budget.RetryPolicy] = budget.RETRY_POLICIES[
         budget.DEFAULT_POLICY
     ]
@@ -163,7 +166,7 @@
         longer.
         """
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + min(self._max_wait_s, call.remaining_s())
+        until_s = loop.time() + self.wait_s(call)
         while not self._targets.is_connected(call) and loop.time() < until_s:
             await asyncio.sleep(FULL_PAUSE_S)
 
@@ -199,6 +202,11 @@
         """Return how long a call may look for a target that is not full."""
         return self._max_wait_s
 
+    def wait_s(self, call: call_module.Call) -> float:
+        """Return how long *call* may look for a target from now on."""
+        share = self._rules.max_wait_share
+        return min(self._max_wait_s, call.remaining_s() * share)
+
     def _policy(self, call: call_module.Call) -> policy.RoutingPolicy:
         name = call.service.routing
         if name not in policy.POLICIES:
@@ -238,9 +246,8 @@
         )
 
     def _allow_wait(self) -> None:
-        self._wait_until_s = asyncio.get_running_loop().time() + min(
-            self._handler.max_wait_s, self._call.remaining_s()
-        )
+        loop = asyncio.get_running_loop()
+        self._wait_until_s = loop.time() + self._handler.wait_s(self._call)
 
     async def _attempts(self, sink: sink_module.AnswerSink) -> None:
         reroutes = 0
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import time
 from collections.abc import AsyncIterator
 
@@ -11,7 +12,7 @@
 
 from ...daemon import http, lifecycle
 from ...datagram import endpoint, messages
-from ...directory import follow, state
+from ...directory import follow, model, state
 from ...hostcfg import model as hostcfg
 from ...http1 import pool
 from ...observability import decisions
@@ -42,6 +43,9 @@
 SUBSCRIBE_PERIOD_S = 1.0
 """Agents forget an entry after 3 s."""
 
+COLD_SHARE = 0.8
+"""Part of a cold target's bound that is used; see BUDGET_SHARE."""
+
 ENTRIES_MEMORY_S = 10.0
 """Window of the retry budget: an entry that has gone may have used its share
 within it."""
@@ -56,8 +60,12 @@
 STOP_MARGIN_S = 0.5
 """Part of the time to SIGKILL kept for the end of the process."""
 
-MAX_WAIT_S = 6.0
-"""Longest wait of one call for a target; its own deadline is shorter."""
+MAX_WAIT_S = 3.0
+"""Longest wait of one call for a target: a group that lost a rank serves
+again after 2 to 3 s."""
+
+MAX_WAIT_SHARE = 0.35
+"""Callers come back after up to a third of the time that they have left."""
 
 UNKNOWN_ENTRIES = 16
 """Entries that share a budget while their number is not known: more than a
@@ -82,7 +90,7 @@
 
     def __init__(self, cfg: hostcfg.HostSettings) -> None:
         self._cfg = cfg
-        client = store.StoreClient(cfg.store_address)
+        client = self._client = store.StoreClient(cfg.store_address)
         self._directory = state.Directory()
         self._followers = (
             follow.Follower(
@@ -118,7 +126,9 @@
         )
         self._connections = pool.ConnectionPool()
         self._directory.on_targets.append(self._targets_changed)
-        self._targets = targets.DirectTargets(self._directory, cfg.data_centre)
+        self._targets = targets.DirectTargets(
+            self._directory, self._cold_limit
+        )
         handler = calls.CallHandler(
             attempts.EngineRunner(
                 self._connections, self._targets, self._check
@@ -129,6 +139,7 @@
             calls.RetryRules(
                 max_rejections=3,
                 do_rejections_spend=True,
+                max_wait_share=MAX_WAIT_SHARE,
                 new_budget=self._new_budget,
             ),
         )
@@ -197,6 +208,16 @@
         await self._metrics.stop()
         self._endpoint.close()
 
+    def adjust(self, cfg: hostcfg.HostSettings) -> None:
+        """See :class:`settings_watch.Adjustable`."""
+        self._cfg = dataclasses.replace(
+            self._cfg, bounds=cfg.bounds, store_address=cfg.store_address
+        )
+        self._client.move(cfg.store_address)
+        self._fresh.adjust(
+            cfg.bounds.revoke_s, cfg.bounds.is_revocation_strict
+        )
+
     def _not_ready_reason(self) -> str | None:
         if self._app.draining:
             return 'draining'
@@ -250,6 +271,15 @@
             {item.incarnation for item in self._directory.all_targets()}
         )
 
+    def _cold_limit(self, service: model.Service) -> float:
+        """Return this entry's part of what a cold target bears in 1 s."""
+        bounds = self._cfg.bounds
+        allowed = (
+            service.cold_requests_per_s * bounds.cold_factor
+            + bounds.cold_slack
+        )
+        return allowed * COLD_SHARE / self._entry_count()
+
     def _new_budget(self) -> budget.RetryPolicy:
         bounds = self._cfg.bounds
         return budget.RETRY_POLICIES['window'](
--- a/src/wagtailhollow/internal/entry/direct/freshness.py
+++ b/src/wagtailhollow/internal/entry/direct/freshness.py
@@ -31,6 +31,11 @@
         self._revoke_s = revoke_s
         self._is_strict = is_strict
 
+    def adjust(self, revoke_s: float, is_strict: bool) -> None:
+        """Use other bounds from now on."""
+        self._revoke_s = revoke_s
+        self._is_strict = is_strict
+
     @property
     def may_accept_keys(self) -> bool:
         """Return whether no key can have been withdrawn for too long."""
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 import time
 from collections.abc import Callable
 
@@ -19,6 +20,9 @@
 MAX_REPORT_AGE_S = 1.5
 """Loads reported longer ago say nothing about a queue of the present."""
 
+COLD_WINDOW_S = 1.0
+"""Window of the bound on what a cold target gets."""
+
 MAX_WAITING_SHARE = 0.5
 """Calls that may wait at a target, as a share of its slots. One slot in six
 is free again after about 0.2 s; more would wait longer than the 0.5 s in
@@ -45,17 +49,17 @@
     def __init__(
         self,
         directory: state.Directory,
-        data_centre: str,
-        sharing: Callable[[], int] = lambda: 1,
+        cold_limit: Callable[[model.Service], float] = lambda _: math.inf,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Create a view.
 
-        :param sharing: returns how many entries send calls.
+        :param cold_limit: returns the calls that this entry may send to a
+            cold target of a service within a second.
         """
         self._directory = directory
-        self._data_centre = data_centre
-        self._sharing = sharing
+        self._cold_limit = cold_limit
+        self._sent: dict[str, collections.deque[float]] = {}
         self._clock = clock
         self._outstanding: collections.Counter[str] = collections.Counter()
         self._reports: dict[str, _Report] = {}
@@ -84,7 +88,12 @@
 
     def has_room(self, candidate: policy.Candidate) -> bool:
         """See :class:`calls.TargetSource`."""
-        return candidate.load < 1 + MAX_WAITING_SHARE
+        record = self._directory.ready(candidate.target)
+        return (
+            record is not None
+            and candidate.load < 1 + MAX_WAITING_SHARE
+            and self._bears_more(record)
+        )
 
     def attempt(
         self,
@@ -106,6 +115,9 @@
     ) -> None:
         """Count a call at a target."""
         self._outstanding[record.name] += 1
+        if self._directory.cold_left_s(record) > 0:
+            sent = self._sent.setdefault(record.name, collections.deque())
+            sent.append(self._clock())
 
     def finished(
         self, record: model.TargetRecord, call: routed.RoutedCall
@@ -146,6 +158,22 @@
             self._clock(), running, waiting, self._outstanding[name], is_open
         )
 
+    def _bears_more(self, record: model.TargetRecord) -> bool:
+        """Return whether a cold target bears one more call now."""
+        service = self._directory.services().get(record.service)
+        if (
+            service is None
+            or not service.cold_requests_per_s
+            or self._directory.cold_left_s(record) <= 0
+        ):
+            self._sent.pop(record.name, None)
+            return True
+        sent = self._sent.get(record.name, ())
+        oldest_s = self._clock() - COLD_WINDOW_S
+        while sent and sent[0] < oldest_s:
+            sent.popleft()
+        return len(sent) + 1 <= max(1.0, self._cold_limit(service))
+
     def _is_open(self, record: model.TargetRecord) -> bool:
         report = self._fresh_report(record)
         return report is None or report.is_open
--- a/src/wagtailhollow/internal/platform/settings.py
+++ b/src/wagtailhollow/internal/platform/settings.py
@@ -13,7 +13,7 @@
 PATH_VARIABLE = 'WAGTAILHOLLOW_CONFIG'
 
 
-class SettingsError(Exception):
+class SettingsError(ValueError):
     """The settings file is missing or lacks a field."""
 
 
@@ -33,6 +33,8 @@
         raise SettingsError(f'{file}: {exc}') from exc
     except KeyError as exc:
         raise SettingsError(f'{file}: the field {exc} is missing') from exc
+    except (TypeError, ValueError) as exc:
+        raise SettingsError(f'{file}: a field is not usable: {exc}') from exc
 
 
 def decode(row: Mapping[str, Any]) -> model.HostSettings:
--- a/src/wagtailhollow/internal/platform/store.py
+++ b/src/wagtailhollow/internal/platform/store.py
@@ -35,6 +35,13 @@
         self._idle: list[connection.HttpConnection] = []
         self.calls = 0
 
+    def move(self, address: str) -> None:
+        """Use another address of the store from now on."""
+        if address != self._address:
+            self._address = address
+            while self._idle:
+                self._idle.pop().close()
+
     async def get(
         self, kind: str, query: Mapping[str, str | int], wait_s: float = 0.0
     ) -> Mapping[str, Any]:
--- a/tests/cover/test_direct_targets.py
+++ b/tests/cover/test_direct_targets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 import types
 
@@ -31,14 +32,26 @@
 class Site:
     """Some entries that see the same targets on one clock."""
 
-    def __init__(self, entries, count):
+    def __init__(self, entries, count, cold_s=0.0):
         self.now = 100.0
-        self.records = [record(number) for number in range(count)]
+        self.records = [
+            dataclasses.replace(record(number), cold_s=cold_s)
+            for number in range(count)
+        ]
         directory = state.Directory(lambda: self.now)
+        service = model.Service(SERVICE, cold_requests_per_s=36.0)
+        manifest = model.Manifest(
+            1, 1, (), {SERVICE: service}, model.CallerLimits(), None
+        )
+        directory.apply_manifest(
+            follow.Update({'main': manifest}, 1, True, False)
+        )
         documents = {item.name: item for item in self.records}
         directory.apply_targets(follow.Update(documents, 1, True, False))
         self.entries = [
-            targets.DirectTargets(directory, 'dc-1', clock=lambda: self.now)
+            targets.DirectTargets(
+                directory, lambda service: 3.0, lambda: self.now
+            )
             for _ in range(entries)
         ]
 
@@ -80,6 +93,35 @@
     assert entry.is_connected(CALL)
 
 
+def test_cold_target_gets_no_more_than_its_part():
+    """Pattern: targets come back cold under full load.
+
+    Guards against a target that falls over again as it returns.
+    """
+    site = Site(entries=1, count=1, cold_s=2.0)
+    (entry,) = site.entries
+
+    def has_room():
+        (candidate,) = entry.candidates(CALL)
+        return entry.has_room(candidate)
+
+    def send():
+        entry.started(site.records[0], CALL)
+        entry.finished(site.records[0], CALL)
+
+    for _ in range(3):
+        assert has_room()
+        send()
+    assert not has_room()
+    site.now += targets.COLD_WINDOW_S + 0.1
+    assert has_room()
+    for _ in range(10):
+        send()
+    assert not has_room()
+    site.now += 1.0
+    assert has_room(), 'warm after 2 s'
+
+
 @pytest.mark.parametrize(('waiting', 'room'), [(0, True), (3, False)])
 def test_target_with_a_queue_has_no_room(waiting, room):
     """Pattern: all slots are taken and calls wait at the target.
