--- /dev/null
+++ b/deploy/hosts.thrift
@@ -0,0 +1,50 @@
+// Messages between hosts on the users' platform, sent as datagrams: one byte
+// with the number of the type (0 RankStatus, 1 Intent, 2 LoadReport,
+// 3 Subscribe), then the struct in the compact protocol.
+// internal/datagram/messages.py has the same structs and explains the fields.
+
+struct RankStatus {
+  1: i64 term,
+  2: string group,
+  3: i64 epoch,
+  4: i32 rank,
+  5: i32 size,
+  6: bool is_open,
+  7: i64 step,
+  8: i64 map_version,
+  9: i64 prepared,
+  10: i64 armed_version,
+  11: i64 armed_step,
+  12: i64 held_step,
+  13: i64 ordered_version,
+  14: i64 refused_version,
+  15: binary experts,
+  16: binary demand,
+  17: string target,
+  18: string address,
+}
+
+struct Intent {
+  1: i64 term,
+  2: string group,
+  3: i64 epoch,
+  4: i32 phase,
+  5: i64 version,
+  6: i64 step,
+  7: i32 holder,
+  8: binary experts,
+}
+
+struct LoadReport {
+  1: string target,
+  2: i32 running,
+  3: i32 waiting,
+  4: i32 entries,
+  5: bool is_open,
+  6: i64 step,
+  7: i64 memory_used,
+}
+
+struct Subscribe {
+  1: string node,
+}
--- a/src/wagtailhollow/internal/retries/budget.py
+++ b/src/wagtailhollow/internal/retries/budget.py
@@ -20,9 +20,13 @@
 
 MAX_SAVED_RETRIES = 20.0
 
+BURST_RETRIES = 20.0
+"""Retries in a window beside the share of its calls. A lost agent takes the
+calls of its target with it: 64 by default, 16 of each of four entries."""
+
 
 RETRY_POLICIES: dict[str, Callable[..., RetryPolicy]] = {}
-DEFAULT_POLICY = 'budget'
+DEFAULT_POLICY = 'window'
 
 
 class RetryPolicy(Protocol):
@@ -101,7 +105,7 @@
     def __init__(
         self,
         ratio: float = RETRY_RATIO,
-        extra: Callable[[], float] = lambda: 0.0,
+        extra: Callable[[], float] = lambda: BURST_RETRIES,
         window_s: float = 10.0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
