Undo a lost switch under an own hold; model check the live switch; agents' metrics

Cause, found by the model checker (proof/live_switch.py): a coordinator that took over completed a switch that it read as armed everywhere, but the earlier one may have given it up, with an order to disarm still on its way: one rank disarms, the step is released, two maps. Undoing without an own hold is refuted too: a release by the earlier coordinator may be on its way.

Agents serve counters and durations on port 9464; prometheus_client is loaded by the first scrape.

--- a/src/wagtailhollow/internal/agent/direct/compose.py
+++ b/src/wagtailhollow/internal/agent/direct/compose.py
@@ -18,7 +18,7 @@
 from ...experts.live import coordinator, demand, packing, rank
 from ...experts.live import model as live
 from ...hostcfg import model as hostcfg
-from ...observability import decisions
+from ...observability import decisions, lean_metrics
 from ...platform import engine, manifest, store
 from ...platform import targets as registrations
 
@@ -47,6 +47,9 @@
 REMOTE_TIMEOUT_S = 0.15
 """As for the own engine, and the way to another data centre and back."""
 
+METRICS_PORT = 9464
+"""Port of the metrics, named in deploy/system.toml."""
+
 PLANNER = 'paced'
 NEW_EXPERTS_PER_RANK = 4
 """New weights of a rank in one plan: they arrive in 0.6 s."""
@@ -91,11 +94,17 @@
         self._presence_s = 0.0
         self._detailed: tuple[int, int, str] | None = None
         self._detailed_until_s = 0.0
+        self._metrics = lean_metrics.LeanMetrics()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """See :class:`lifecycle.Daemon`."""
         await self._endpoint.open(self._cfg.ip, self._port)
+        decisions.observers.append(self._metrics.observe)
+        try:
+            await self._metrics.serve(self._cfg.ip, METRICS_PORT)
+        except OSError as exc:
+            decisions.log('metrics_unavailable', reason=str(exc))
         self._tasks = [
             lifecycle.background(self._list_peers()),
             lifecycle.background(self._watch_engine()),
@@ -112,6 +121,7 @@
         for task in self._tasks:
             task.cancel()
         self._endpoint.close()
+        self._metrics.close()
         self._engine.close()
         decisions.log('stopping')
 
--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -2,13 +2,13 @@
 
 The agent of the lowest rank that is heard coordinates. A coordinator first
 gets the promise of every rank to obey no lower term, then brings what an
-earlier one left behind to an end, and only then plans:
-
-* if all ranks are armed for the same step, that switch is completed: the
-  earlier coordinator may have released the step already;
-* otherwise nobody can have released it, so all ranks are disarmed and given
-  a new version, after which a late order to arm is refused; then whatever is
-  held is released.
+earlier one left behind to an end, and only then plans. It holds the step at
+its own rank, since a release by the earlier one may be on its way; it disarms
+all ranks and gives them a new version, after which a late order to arm is
+refused; then it releases whatever is held. To complete a switch that is armed
+everywhere would not be safe: an order to disarm may be on its way.
+``proof/live_switch.py`` checks this against late orders and a coordinator that
+wakes up.
 
 A rank whose agent is not heard is driven from here, at the engine itself.
 """
@@ -339,42 +339,41 @@
     async def _resolve(self) -> None:
         """End a switch that was begun earlier."""
         statuses = self._statuses()
-        armed = {(s.armed_version, s.armed_step) for s in statuses.values()}
-        held = [s for s in statuses.values() if s.held_step != messages.NONE]
+        armed = {
+            (s.rank, s.armed_step)
+            for s in statuses.values()
+            if s.armed_version != messages.NONE
+        }
+        held = {
+            (s.rank, s.held_step)
+            for s in statuses.values()
+            if s.held_step != messages.NONE
+        }
+        begun = max(s.step for s in statuses.values())
+        steps = {step for _, step in armed | held if step > begun}
         decisions.log(
             'switch_resolved',
             group=self._intent.group,
             term=self._intent.term,
             armed=sorted(armed),
-            held=[(s.rank, s.held_step) for s in held],
+            held=sorted(held),
+            begun=begun,
         )
-        none = (messages.NONE, messages.NONE)
-        if held:
-            (first, *others) = armed
-            if not others and first[1] == held[0].held_step:
-                await self._release(first[1])
-            else:
-                await self._abort()
-            return
-        steps = [step for version, step in armed if version != messages.NONE]
-        begun = max(s.step for s in statuses.values())
-        if none not in armed and len(armed) == 1 or min(steps) <= begun:
-            # Armed everywhere, or reports from before and after the switch:
-            # the group switches by itself.
+        if steps:
+            await self._abort(min(steps))
+        else:
+            # Reports from before and after the switch.
             await self._until(_is_finished, RESOLVE_TIMEOUT_S)
-            return
-        # Ranks must not be disarmed one by one while the step may begin.
-        step = min(steps)
-        own_rank = self._own_status().rank
-        self._want(model.Phase.HOLD, step=step, holder=own_rank)
-        if await self._until(
-            lambda s: s.rank != own_rank or s.held_step == step,
-            HOLD_TIMEOUT_S,
-        ):
-            await self._abort()
 
-    async def _abort(self) -> None:
-        """Disarm all ranks, make late orders harmless, release the group."""
+    async def _abort(self, step: int) -> None:
+        """Disarm all ranks, make late orders harmless, release the group.
+
+        Ranks are disarmed one by one, so the step must not begin meanwhile.
+        It may be held at another rank, but a release of that hold may be on
+        its way; only an own hold is certain.
+        """
+        if not await self._hold(step):
+            return
         while True:
             statuses = self._statuses()
             if len(statuses) < self._own_status().size:
@@ -396,12 +395,30 @@
                 lambda s, v=version: s.refused_version == v,
             ):
                 break
-        for step in {
+        for held in {
             s.held_step
             for s in self._statuses().values()
             if s.held_step != messages.NONE
         }:
-            await self._release(step)
+            await self._release(held)
+
+    async def _hold(self, step: int) -> bool:
+        """Hold a step at the own rank; return whether it is held."""
+        own_rank = self._own_status().rank
+        held = self._own_status().held_step
+        if held > step:
+            # A late order; a rank has one hold at a time.
+            await self._release(held)
+        elif held != messages.NONE:
+            return True
+        self._want(model.Phase.HOLD, step=step, holder=own_rank)
+        await self._until(
+            lambda s: (
+                s.rank != own_rank or s.held_step == step or s.step >= step
+            ),
+            HOLD_TIMEOUT_S,
+        )
+        return self._own_status().held_step == step
 
     async def _release(self, step: int) -> None:
         self._want(model.Phase.RELEASE, step=step)
@@ -451,12 +468,8 @@
 
     async def _switch(self, version: int) -> None:
         step = self._own_status().step + self._margin_steps()
-        own_rank = self._own_status().rank
-        self._want(model.Phase.HOLD, step=step, holder=own_rank)
-        if not await self._until(
-            lambda s: s.rank != own_rank or s.held_step == step,
-            HOLD_TIMEOUT_S,
-        ):
+        if not await self._hold(step):
+            # The order may be carried out later.
             await self._release(step)
             return
         self._want(model.Phase.ARM, version=version, step=step)
@@ -465,11 +478,17 @@
             ARM_TIMEOUT_S,
         ):
             await self._release(step)
-            await self._until(
+            # A group without work begins no step.
+            while not await self._until(
                 lambda s: s.map_version == version, RESOLVE_TIMEOUT_S
-            )
+            ):
+                if not all(
+                    version in (s.map_version, s.armed_version)
+                    for s in self._statuses().values()
+                ):
+                    return
         else:
-            await self._abort()
+            await self._abort(step)
 
     def _margin_steps(self) -> int:
         return MIN_MARGIN_STEPS + math.ceil(HOLD_MARGIN_S / self._pass_s())
--- a/src/wagtailhollow/internal/observability/decisions.py
+++ b/src/wagtailhollow/internal/observability/decisions.py
@@ -11,6 +11,7 @@
 import json
 import os
 import time
+from collections.abc import Callable, Mapping
 from typing import Any
 
 LINES_PER_S = 400
@@ -29,6 +30,7 @@
         self._allowed = float(BURST_LINES)
         self._refilled_s = time.monotonic()
         self._dropped = 0
+        self.observers: list[Callable[[str, Mapping[str, Any]], None]] = []
 
     def identify(self, **fields: Any) -> None:
         """Set fields that every line carries."""
@@ -37,6 +39,8 @@
 
     def log(self, event: str, **fields: Any) -> None:
         """Write one line, or count it as dropped."""
+        for observe in self.observers:
+            observe(event, fields)
         now_s = time.monotonic()
         self._allowed = min(
             BURST_LINES,
@@ -62,3 +66,4 @@
 _LOG = DecisionLog()
 identify = _LOG.identify
 log = _LOG.log
+observers = _LOG.observers
