--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 setup: $(VENV)/.ready
 endif
 
-$(VENV)/.ready: pyproject.toml
+$(VENV)/.ready: pyproject.toml requirements.txt
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(VENV)/bin/pip install -q -e '.[dev]'
 	touch $@
--- a/proof/live_switch.py
+++ b/proof/live_switch.py
@@ -28,12 +28,12 @@
 
 import dataclasses
 import sys
-import time
 from collections.abc import Iterator
 
 import minicheck
 
-MAX_STATES = 3_000_000
+from . import verdicts
+
 RANKS = (0, 1)
 OLD, NEW = 0, 1
 CLEAR = {1: 3, 2: 4}
@@ -294,28 +294,8 @@
 
 def check(variant: Variant) -> dict:
     """Return the verdict on 'one map in each step'."""
-    result = minicheck.check_safety(protocol(variant), MAX_STATES)
-    return {
-        **result['properties']['one map in each step'],
-        'exhaustive': result['exhaustive'],
-        'states': result['reachable_states'],
-    }
-
-
-def main() -> int:
-    """Check all variants; return 1 if one has the wrong verdict."""
-    is_wrong = False
-    for variant in (*CHECKED, *NAIVE):
-        started_s = time.monotonic()
-        found = check(variant)
-        took_s = time.monotonic() - started_s
-        print(f'{variant}: {found["holds"]}, {found["states"]} states', end='')
-        print(f', exhaustive: {found["exhaustive"]}, {took_s:.1f} s')
-        for step in found['counterexample'] or ():
-            print(f'  {step["label"]}')
-        is_wrong |= found['holds'] is not (variant in CHECKED)
-    return int(is_wrong)
+    return verdicts.check(protocol(variant), 'one map in each step')
 
 
 if __name__ == '__main__':
-    sys.exit(main())
+    sys.exit(verdicts.report(check, CHECKED, NAIVE))
--- /dev/null
+++ b/proof/verdicts.py
@@ -0,0 +1,44 @@
+"""Runs the model checker over the variants of a specification."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import minicheck
+
+MAX_STATES = 3_000_000
+
+
+def check(protocol: minicheck.Protocol, invariant: str) -> dict[str, Any]:
+    """Return the verdict on one invariant of a specification."""
+    result = minicheck.check_safety(protocol, MAX_STATES)
+    return {
+        **result['properties'][invariant],
+        'exhaustive': result['exhaustive'],
+        'states': result['reachable_states'],
+    }
+
+
+def report(
+    check_variant: Callable[[Any], dict[str, Any]],
+    checked: Sequence[Any],
+    naive: Sequence[Any],
+) -> int:
+    """Print all verdicts; return 1 if one is wrong.
+
+    :param checked: variants that have to hold.
+    :param naive: variants that have to be refuted.
+    """
+    is_wrong = False
+    for variant in (*checked, *naive):
+        started_s = time.monotonic()
+        found = check_variant(variant)
+        took_s = time.monotonic() - started_s
+        print(f'{variant}: {found["holds"]}, {found["states"]} states', end='')
+        print(f', exhaustive: {found["exhaustive"]}, {took_s:.1f} s')
+        for step in found['counterexample'] or ():
+            print(f'  {step["label"]}: {step["state"]}')
+        is_wrong |= found['holds'] is not (variant in checked)
+    return int(is_wrong)
