Keep the coordinator alive when its engine is silent

Cause: while the own engine does not answer, its status is None; the check of the coordinator read a field of it and the task ended for good, while its agent still was the lowest rank heard: the group's map was never changed again, and a hold could stand. Found by reading the change.

--- a/src/wagtailhollow/internal/directory/follow.py
+++ b/src/wagtailhollow/internal/directory/follow.py
@@ -106,7 +106,10 @@
             self._take(listing.documents, listing.revision, True)
             self.confirmed_s = asked_s
             return
-        found = await self._source.watch(self._revision, self._wait_s)
+        # After a failure the store answers at once, so that its return is
+        # not noticed only when a wait is over.
+        wait_s = self._wait_s if self._failing_since_s is None else 0.0
+        found = await self._source.watch(self._revision, wait_s)
         self._note_success()
         if found.documents:
             self._take(found.documents, found.revision, False)
@@ -114,7 +117,7 @@
             await asyncio.sleep(self._batch_s)
         else:
             # The store answers an empty watch only when its time is over.
-            self.confirmed_s = min(asked_s + self._wait_s, suspend_aware_now())
+            self.confirmed_s = min(asked_s + wait_s, suspend_aware_now())
             self._revision = max(self._revision, found.revision)
 
     def _take(
--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -260,6 +260,8 @@
 
     def _check(self) -> None:
         own = self._own_status()
+        if own is None:
+            raise Interrupted('the own engine is silent')
         if (own.group, own.epoch) != self._epoch or not own.is_open:
             raise Interrupted('the group formed anew')
         heard = self._view.fresh(own)
--- a/standins/live_group.py
+++ b/standins/live_group.py
@@ -36,10 +36,11 @@
 
 @dataclasses.dataclass
 class Faults:
-    """Shares of orders and messages that go wrong."""
+    """Shares of orders, messages and reports that go wrong."""
 
     unanswered: float = 0.0
     lost: float = 0.0
+    silent: float = 0.0
 
 
 class SimulatedEngine:
@@ -61,6 +62,9 @@
     async def report(self) -> model.RankReport:
         """See :class:`model.RankEngine`."""
         await asyncio.sleep(0.002)
+        if self._group.rng.random() < self._group.faults.silent:
+            await asyncio.sleep(0.06)
+            raise model.EngineSilent('no answer')
         return model.RankReport(
             GROUP,
             1,
--- a/tests/cover/test_directory.py
+++ b/tests/cover/test_directory.py
@@ -208,6 +208,50 @@
     assert [item.after_outage for item in updates] == [False, False]
 
 
+class WaitingSource:
+    """A store that is away for a while and holds watches without changes."""
+
+    def __init__(self, returns_s, removed_s):
+        self.returns_s = returns_s
+        self.removed_s = removed_s
+
+    async def read(self):
+        return changes.Listing({'a': 1}, 4)
+
+    async def watch(self, revision, wait_s):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(0.01)
+        if 0.005 < loop.time() < self.returns_s:
+            raise changes.SourceUnavailable('down')
+        left_s = self.removed_s - loop.time()
+        if revision < 9 and left_s <= wait_s:
+            await asyncio.sleep(max(0.0, left_s))
+            return changes.Changes({'a': None}, 9)
+        await asyncio.sleep(wait_s)
+        return changes.Changes({}, revision)
+
+
+def test_return_of_the_store_is_noticed_at_once(monkeypatch):
+    """Guards against a departure taken for a lapse of the outage before.
+
+    As in the play kilima-loft, hunt-fbe2-31: back after 11.5 s, the target
+    left at 15.0 s, the first watch had returned only at 14.5 s.
+    """
+    updates = []
+    source = WaitingSource(returns_s=11.5, removed_s=15.0)
+    follower = follow.Follower('things', source, updates.append, 2.5)
+
+    async def work():
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(follow, 'suspend_aware_now', loop.time)
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(20)
+        task.cancel()
+
+    memory_platform.run_fast(work)
+    assert [item.after_outage for item in updates] == [False, False]
+
+
 def test_hanging_watch_proves_nothing(monkeypatch):
     """Guards against a manifest trusted because a watch is open."""
     _, _, follower = follow_script(monkeypatch, changes.Listing({'a': 1}, 4))
--- a/tests/cover/test_live_switch.py
+++ b/tests/cover/test_live_switch.py
@@ -68,6 +68,19 @@
         agent.start()
 
 
+async def silent_engines(group):
+    group.faults = live_group.Faults(silent=0.03)
+    await asyncio.Event().wait()
+
+
+def test_map_goes_on_changing_after_an_engine_was_silent():
+    """Guards against a coordinator that ends with a report it did not get."""
+    group = play(1, silent_engines, 15)
+    assert not group.mixed
+    assert len(group.versions) > 15
+    assert group.longest_stop_s < STOP_BOUND_S
+
+
 def test_map_changes_while_nothing_fails():
     """Guards against a switch that is safe because it never happens."""
     group = play(1, calm, 10)
