Read bodies, watch for callers that leave and find headers in one place

The direct entry had its own copies of the entry's body loop, of the wait for work or disconnect and of the search for a header; the stand-ins' servers repeated their settings. Gone with it: an admission that admitted everything, prompt lengths that were parsed for each call and not used, counters nobody reads, parameters nobody uses, and three closes of a connection that its release closes anyway. Behaviour as before.

--- a/src/wagtailhollow/internal/entry/app.py
+++ b/src/wagtailhollow/internal/entry/app.py
@@ -5,8 +5,7 @@
 import asyncio
 import json
 import time
-from collections.abc import Awaitable, Callable, Mapping
-from typing import Any
+from collections.abc import Callable
 
 from absl import logging
 from starlette import routing
@@ -22,8 +21,6 @@
 
 _FORWARDED = ('content-type', 'accept', 'user-agent')
 
-Receive = Callable[[], Awaitable[Mapping[str, Any]]]
-
 
 class CallerApp:
     """ASGI application for callers."""
@@ -58,13 +55,13 @@
         ]
 
     async def overloaded(
-        self, scope: requests.Scope, receive: Receive, send: Send
+        self, scope: requests.Scope, receive: requests.Receive, send: Send
     ) -> None:
         """Serve connections over the limit; an ASGI application."""
         await _Endpoint(self._refuse_connection)(scope, receive, send)
 
     async def _refuse_connection(
-        self, scope: requests.Scope, receive: Receive, sink: HttpSink
+        self, scope: requests.Scope, receive: requests.Receive, sink: HttpSink
     ) -> None:
         raise errors.Refusal(
             errors.ErrorKind.OVERLOADED,
@@ -73,7 +70,7 @@
         )
 
     async def unknown_path(
-        self, scope: requests.Scope, receive: Receive, sink: HttpSink
+        self, scope: requests.Scope, receive: requests.Receive, sink: HttpSink
     ) -> None:
         """Refuse every other path under ``/v1``."""
         raise requests.bad_request(
@@ -82,7 +79,7 @@
         )
 
     async def chat(
-        self, scope: requests.Scope, receive: Receive, sink: HttpSink
+        self, scope: requests.Scope, receive: requests.Receive, sink: HttpSink
     ) -> None:
         """Serve ``POST /v1/chat/completions``."""
         if scope['method'] != 'POST':
@@ -116,7 +113,7 @@
         await self._serve(call, receive, sink)
 
     async def plain(
-        self, scope: requests.Scope, receive: Receive, sink: HttpSink
+        self, scope: requests.Scope, receive: requests.Receive, sink: HttpSink
     ) -> None:
         """Serve ``/v1/services/<service>/<path>``."""
         view, organisation = self._identify(scope)
@@ -135,7 +132,7 @@
         await self._serve(call, receive, sink)
 
     async def models(
-        self, scope: requests.Scope, receive: Receive, sink: HttpSink
+        self, scope: requests.Scope, receive: requests.Receive, sink: HttpSink
     ) -> None:
         """Serve ``GET /v1/models``."""
         view, _ = self._identify(scope)
@@ -176,7 +173,7 @@
         return view, name
 
     async def _read_body(
-        self, scope: requests.Scope, receive: Receive
+        self, scope: requests.Scope, receive: requests.Receive
     ) -> bytes:
         limits = self._cfg.request_limits
         head_bytes = requests.head_bytes(scope)
@@ -189,24 +186,16 @@
         declared = requests.header(scope, b'content-length')
         if declared.isdigit() and int(declared) > limits.max_body_bytes:
             raise requests.body_too_large(limits.max_body_bytes)
-        body = bytearray()
         try:
             async with asyncio.timeout(limits.body_timeout_s):
-                more = True
-                while more:
-                    message = await receive()
-                    if message['type'] == 'http.disconnect':
-                        raise requests.bad_request('the connection was closed')
-                    body += message.get('body', b'')
-                    if len(body) > limits.max_body_bytes:
-                        raise requests.body_too_large(limits.max_body_bytes)
-                    more = message.get('more_body', False)
+                return await requests.read_body(receive, limits.max_body_bytes)
+        except ConnectionAbortedError:
+            raise requests.bad_request('the connection was closed') from None
         except TimeoutError:
             raise errors.Refusal(
                 errors.ErrorKind.SLOW_SENDER,
                 f'the body did not arrive within {limits.body_timeout_s} s',
             ) from None
-        return bytes(body)
 
     def _call(
         self,
@@ -250,17 +239,13 @@
         )
 
     async def _serve(
-        self, call: call_module.Call, receive: Receive, sink: HttpSink
+        self, call: call_module.Call, receive: requests.Receive, sink: HttpSink
     ) -> None:
         sink.observe(call)
         self.in_progress += 1
         work = asyncio.create_task(self._admitted(call, sink))
-        leave = asyncio.create_task(_wait_for_disconnect(receive))
         try:
-            await asyncio.wait(
-                (work, leave), return_when=asyncio.FIRST_COMPLETED
-            )
-            if not work.done():
+            if not await requests.is_done_before_leave(work, receive):
                 # A call that must run once goes on: its outcome is recorded.
                 if not call.must_not_repeat:
                     work.cancel()
@@ -269,7 +254,6 @@
                 return
             await work
         finally:
-            leave.cancel()
             self.in_progress -= 1
 
     async def _admitted(self, call: call_module.Call, sink: HttpSink) -> None:
@@ -287,7 +271,7 @@
         self._serve = serve
 
     async def __call__(
-        self, scope: requests.Scope, receive: Receive, send: Send
+        self, scope: requests.Scope, receive: requests.Receive, send: Send
     ) -> None:
         sink = HttpSink(send, scope)
         logs.request_id.set(sink.request_id)
@@ -301,8 +285,3 @@
             await sink.refuse(
                 errors.Refusal(errors.ErrorKind.INTERNAL, 'the entry failed')
             )
-
-
-async def _wait_for_disconnect(receive: Receive) -> None:
-    while (await receive())['type'] != 'http.disconnect':
-        pass
--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -183,7 +183,7 @@
     async def run_attempt(
         self, attempt: attempt_module.Attempt, sink: sink_module.AnswerSink
     ) -> None:
-        """Run one attempt; see :meth:`attempt_module.AttemptRunner.run`."""
+        """Run one attempt; see :meth:`Runner.run`."""
         await self._runner.run(attempt, sink)
 
     def retry_budget(self, service_name: str) -> budget.RetryPolicy:
@@ -197,11 +197,6 @@
         """Return what bounds the attempts of one call."""
         return self._rules
 
-    @property
-    def max_wait_s(self) -> float:
-        """Return how long a call may look for a target that is not full."""
-        return self._max_wait_s
-
     def wait_s(self, call: call_module.Call) -> float:
         """Return how long *call* may look for a target from now on."""
         share = self._rules.max_wait_share
--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -5,8 +5,6 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable, Mapping
-from typing import Any, Protocol
 
 from absl import logging
 
@@ -20,21 +18,12 @@
 from . import attempts, freshness, routed
 from . import sink as sink_module
 
-Receive = Callable[[], Awaitable[Mapping[str, Any]]]
-
 ROUTING_POLICY = 'power_of_two'
 START_RETRY_S = 0.5
 """Retry-After of an entry without a configuration: it reads one in about
 half a second once the store answers."""
 
 
-class Admission(Protocol):
-    """Decides when a call may look for a target."""
-
-    def admit(self, call: routed.RoutedCall) -> Any:
-        """Return an async context manager that holds a place."""
-
-
 class RoutedApp:
     """ASGI application for calls on the routes in force."""
 
@@ -43,28 +32,26 @@
         directory: state.Directory,
         fresh: freshness.Freshness,
         handler: calls.CallHandler,
-        admission: Admission,
     ) -> None:
         self._directory = directory
         self._fresh = fresh
         self._handler = handler
-        self._admission = admission
         self.draining = False
         self.in_progress = 0
 
     async def __call__(
         self,
         scope: requests.Scope,
-        receive: Receive,
+        receive: requests.Receive,
         send: sink_module.Send,
     ) -> None:
         """Serve one request."""
         rows = scope['headers']
-        request_id = _first(rows, headers.REQUEST_ID)
+        request_id = connection.first(rows, headers.REQUEST_ID)
         sink = sink_module.DirectSink(
             send,
             request_id,
-            _first(rows, headers.LAST_EVENT_ID),
+            connection.first(rows, headers.LAST_EVENT_ID),
             lambda: self.draining,
         )
         self.in_progress += 1
@@ -120,7 +107,7 @@
         )
 
     async def _call(
-        self, scope: requests.Scope, receive: Receive, call_id: str
+        self, scope: requests.Scope, receive: requests.Receive, call_id: str
     ) -> routed.RoutedCall:
         manifest = self._directory.manifest
         if manifest is None:
@@ -132,15 +119,10 @@
         rows = scope['headers']
         route = self._route(scope)
         organisation = self._organisation(manifest, route, rows)
-        body = await _read_body(receive, manifest.limits.max_body_bytes)
-        tokens = _first(rows, headers.TOKENS).split(b',')
-        prompt, longest = (
-            (int(part) for part in tokens)
-            if len(tokens) == 2 and all(p.strip().isdigit() for p in tokens)
-            else (0, 0)
+        body = await requests.read_body(
+            receive, manifest.limits.max_body_bytes
         )
-        hint = _first(rows, headers.LENGTH_HINT)
-        deadline = _first(rows, headers.DEADLINE)
+        deadline = connection.first(rows, headers.DEADLINE)
         allowed_s = route.timeout_s
         if deadline.isdigit():
             allowed_s = min(allowed_s, int(deadline) / 1000)
@@ -156,23 +138,18 @@
             body=body,
             idempotency_key=None,
             must_not_repeat=not route.may_repeat,
-            tokens=prompt + longest,
+            tokens=0,
             prefix='',
             deadline_s=time.monotonic() + allowed_s,
             max_attempts=route.max_attempts,
             route=route,
             sent_headers=attempts.forwarded(rows),
             target_path=_target_path(scope),
-            prompt_tokens=prompt,
-            answer_tokens=(
-                min(int(hint), longest) if hint.isdigit() else longest
-            ),
-            last_event_id=_first(rows, headers.LAST_EVENT_ID),
             has_key=organisation is not None,
         )
 
     def _route(self, scope: requests.Scope) -> model.Route:
-        host = _first(scope['headers'], b'host').decode('latin-1')
+        host = connection.first(scope['headers'], b'host').decode('latin-1')
         path = scope['raw_path'].decode('latin-1')
         route = self._directory.route(host, path)
         if route is None and ':' in host:
@@ -195,7 +172,7 @@
         if manifest.organisations is None or route.is_public:
             return None
         self._fresh.require_for_keys()
-        key = _first(rows, headers.KEY).decode('latin-1')
+        key = connection.first(rows, headers.KEY).decode('latin-1')
         organisation = manifest.organisations.get(key)
         if organisation is None:
             self._fresh.require_newest('the key is not known')
@@ -208,32 +185,15 @@
     async def _serve(
         self,
         call: routed.RoutedCall,
-        receive: Receive,
+        receive: requests.Receive,
         sink: sink_module.DirectSink,
     ) -> None:
-        work = asyncio.create_task(self._admitted(call, sink))
-        leave = asyncio.create_task(_wait_for_disconnect(receive))
-        try:
-            await asyncio.wait(
-                (work, leave), return_when=asyncio.FIRST_COMPLETED
-            )
-            if not work.done():
-                work.cancel()
-                await asyncio.gather(work, return_exceptions=True)
-                raise ConnectionAbortedError('the caller left')
-            await work
-        finally:
-            leave.cancel()
-
-    async def _admitted(
-        self, call: routed.RoutedCall, sink: sink_module.DirectSink
-    ) -> None:
-        async with self._admission.admit(call):
-            await self._handler.handle(call, sink)
-
-
-def _first(rows: connection.Headers, name: bytes) -> bytes:
-    return next((value for key, value in rows if key == name), b'')
+        work = asyncio.create_task(self._handler.handle(call, sink))
+        if not await requests.is_done_before_leave(work, receive):
+            work.cancel()
+            await asyncio.gather(work, return_exceptions=True)
+            raise ConnectionAbortedError('the caller left')
+        await work
 
 
 def _target_path(scope: requests.Scope) -> bytes:
@@ -248,21 +208,3 @@
         [share.service for share in route.shares],
         [max(share.weight, 0.0) for share in route.shares],
     )[0]
-
-
-async def _read_body(receive: Receive, limit: int) -> bytes:
-    body = b''
-    while True:
-        message = await receive()
-        if message['type'] == 'http.disconnect':
-            raise ConnectionAbortedError('the caller left')
-        body += message.get('body', b'')
-        if len(body) > limit:
-            raise requests.body_too_large(limit)
-        if not message.get('more_body', False):
-            return body
-
-
-async def _wait_for_disconnect(receive: Receive) -> None:
-    while (await receive())['type'] != 'http.disconnect':
-        pass
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -87,7 +87,7 @@
             _fail(Phase.REFUSED, errors.ErrorKind.NO_TARGET, 'target is gone')
         answer.served_by(record.data_centre)
         exchange = _Exchange(attempt, record, answer)
-        self._view.started(record, attempt.call)
+        self._view.started(record)
         result = 'failed'
         try:
             await self._run(exchange)
@@ -103,7 +103,7 @@
             attempt.call.execution.may_have_run = exchange.is_sent
             raise
         finally:
-            self._view.finished(record, attempt.call)
+            self._view.finished(record)
             decisions.log(
                 'attempt',
                 request_id=attempt.call.call_id,
@@ -136,16 +136,13 @@
             async with asyncio.timeout(call.remaining_s()):
                 await exchange.run(conn, self._view)
         except TimeoutError:
-            conn.close()
             exchange.fail(
                 errors.ErrorKind.DEADLINE_EXCEEDED,
                 'no whole answer before the deadline',
             )
-        except BaseException:
-            if not conn.is_usable:
-                conn.close()
-            raise
         finally:
+            # Closes it unless the answer was read to its end, which also
+            # ends the work at the target.
             self._connections.release(record.incarnation, conn)
 
 
@@ -182,10 +179,6 @@
                 self.is_sent = False
                 _fail(Phase.REFUSED, errors.ErrorKind.NO_TARGET, str(exc))
             self.fail(errors.ErrorKind.ANSWER_INCOMPLETE, str(exc))
-        finally:
-            # An answer that was not read to its end ends at the target, too.
-            if not conn.is_usable:
-                conn.close()
 
     def fail(self, kind: errors.ErrorKind, message: str) -> NoReturn:
         """Raise AttemptFailed with the phase that was reached."""
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import time
-from collections.abc import AsyncIterator
 
 from starlette import routing
 
@@ -76,15 +74,6 @@
 of each other, and a restarted one forgets what it spent."""
 
 
-class OpenAdmission:
-    """Lets every call look for a target at once."""
-
-    @contextlib.asynccontextmanager
-    async def admit(self, call: routed.RoutedCall) -> AsyncIterator[None]:
-        """Hold nothing while the call runs."""
-        yield
-
-
 class DirectEntry:
     """The entry daemon; wires its parts and runs them."""
 
@@ -143,9 +132,7 @@
                 new_budget=self._new_budget,
             ),
         )
-        self._app = app.RoutedApp(
-            self._directory, self._fresh, handler, OpenAdmission()
-        )
+        self._app = app.RoutedApp(self._directory, self._fresh, handler)
         limits = schema.RequestLimits(
             max_connections=MAX_CONNECTIONS, body_timeout_s=15.0
         )
--- a/src/wagtailhollow/internal/entry/direct/routed.py
+++ b/src/wagtailhollow/internal/entry/direct/routed.py
@@ -15,18 +15,12 @@
 
     :ivar sent_headers: headers of the caller that the target gets unchanged.
     :ivar target_path: path and query as the caller sent them.
-    :ivar prompt_tokens: length of the prompt, 0 if there is none.
-    :ivar answer_tokens: estimate of the tokens that will be generated.
-    :ivar last_event_id: where the caller resumes a stream, or empty.
     :ivar has_key: whether the call was let in because of a key.
     """
 
     route: model.Route = None
     sent_headers: connection.Headers = ()
     target_path: bytes = b'/'
-    prompt_tokens: int = 0
-    answer_tokens: int = 0
-    last_event_id: bytes = b''
     has_key: bool = False
 
     @property
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -110,18 +110,14 @@
         """Return the incarnation that takes calls under a name, or None."""
         return self._directory.ready(name)
 
-    def started(
-        self, record: model.TargetRecord, call: routed.RoutedCall
-    ) -> None:
+    def started(self, record: model.TargetRecord) -> None:
         """Count a call at a target."""
         self._outstanding[record.name] += 1
         if self._directory.cold_left_s(record) > 0:
             sent = self._sent.setdefault(record.name, collections.deque())
             sent.append(self._clock())
 
-    def finished(
-        self, record: model.TargetRecord, call: routed.RoutedCall
-    ) -> None:
+    def finished(self, record: model.TargetRecord) -> None:
         """End the count of a call at a target."""
         self._outstanding[record.name] -= 1
 
--- a/src/wagtailhollow/internal/entry/requests.py
+++ b/src/wagtailhollow/internal/entry/requests.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 from ... import errors
@@ -18,6 +19,9 @@
 Scope = Mapping[str, Any]
 """ASGI scope of one request."""
 
+Receive = Callable[[], Awaitable[Mapping[str, Any]]]
+"""Returns the next ASGI message of a caller."""
+
 
 def header(scope: Scope, name: bytes) -> str:
     """Return the first value of a header, or an empty string."""
@@ -78,6 +82,45 @@
     return text if len(text) <= MAX_ECHO_CHARS else text[:MAX_ECHO_CHARS] + '…'
 
 
+async def read_body(receive: Receive, limit: int) -> bytes:
+    """Return the whole body of a request.
+
+    :raises Refusal: BODY_TOO_LARGE.
+    :raises ConnectionAbortedError: the caller left.
+    """
+    body = bytearray()
+    more = True
+    while more:
+        message = await receive()
+        if message['type'] == 'http.disconnect':
+            raise ConnectionAbortedError('the caller left')
+        body += message.get('body', b'')
+        if len(body) > limit:
+            raise body_too_large(limit)
+        more = message.get('more_body', False)
+    return bytes(body)
+
+
+async def is_done_before_leave(
+    work: asyncio.Task[None], receive: Receive
+) -> bool:
+    """Wait for the end of *work*, or until the caller leaves.
+
+    The work is cancelled neither by that nor by the end of this call.
+    """
+    leave = asyncio.create_task(_wait_for_disconnect(receive))
+    try:
+        await asyncio.wait((work, leave), return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        leave.cancel()
+    return work.done()
+
+
+async def _wait_for_disconnect(receive: Receive) -> None:
+    while (await receive())['type'] != 'http.disconnect':
+        pass
+
+
 def json_object(body: bytes) -> dict[str, Any]:
     """Return the JSON object in *body*; raises BAD_REQUEST."""
     try:
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -32,6 +32,11 @@
 Headers = Sequence[tuple[bytes, bytes]]
 
 
+def first(headers: Headers, name: bytes, default: bytes = b'') -> bytes:
+    """Return the first value of a header; *name* is in lower case."""
+    return next((value for key, value in headers if key == name), default)
+
+
 class ConnectFailed(Exception):
     """No connection was made, so nothing was sent."""
 
@@ -63,9 +68,7 @@
 
     def get(self, name: bytes, default: bytes = b'') -> bytes:
         """Return the first value of a header."""
-        return next(
-            (value for key, value in self.headers if key == name), default
-        )
+        return first(self.headers, name, default)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/wagtailhollow/internal/http1/pool.py
+++ b/src/wagtailhollow/internal/http1/pool.py
@@ -21,14 +21,10 @@
 
 
 class ConnectionPool:
-    """Idle connections to the targets of one entry.
-
-    :ivar opened: connections opened so far.
-    """
+    """Idle connections to the targets of one entry."""
 
     def __init__(self) -> None:
         self._idle: dict[Incarnation, list[connection.HttpConnection]] = {}
-        self.opened = 0
 
     async def acquire(
         self, incarnation: Incarnation, address: str, max_idle_s: float
@@ -46,7 +42,6 @@
             if conn.is_usable and now_s - conn.idle_since_s < limit_s:
                 return conn
             conn.close()
-        self.opened += 1
         return await connection.HttpConnection.open(address, CONNECT_TIMEOUT_S)
 
     def release(
--- a/src/wagtailhollow/internal/platform/headers.py
+++ b/src/wagtailhollow/internal/platform/headers.py
@@ -15,10 +15,4 @@
 LOAD = b'x-engine-load'
 """Running, waiting and slots, separated by commas."""
 
-TOKENS = b'x-token-usage'
-"""Prompt tokens and the most output tokens, separated by a comma."""
-
-PROMPT_PARTS = b'x-prompt-prefix'
-LENGTH_HINT = b'x-length-hint'
 LAST_EVENT_ID = b'last-event-id'
-COLD_MS = b'x-cold-ms'
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -31,28 +31,22 @@
     app: applications.Starlette, host: str, port: int
 ) -> uvicorn.Server:
     """Return a server for an application; it does not handle signals."""
-    cfg = uvicorn.Config(
-        app,
-        host=host,
-        port=port,
-        log_level='warning',
-        access_log=False,
-        http=AbortableProtocol,
-        timeout_graceful_shutdown=1,
-        # Longer than any pause of a test between two requests, or a request
-        # may be sent on a connection that is being closed.
-        timeout_keep_alive=75,
-    )
-    result = uvicorn.Server(cfg)
+    result = uvicorn.Server(_config(app, host, port))
     result.capture_signals = contextlib.nullcontext
     return result
 
 
 def run(create: Callable[[], applications.Starlette], port: int) -> None:
     """Serve the application on loopback until the process is ended."""
-    uvicorn.run(
-        create(),
-        host='127.0.0.1',
+    uvicorn.Server(_config(create(), '127.0.0.1', port)).run()
+
+
+def _config(
+    app: applications.Starlette, host: str, port: int
+) -> uvicorn.Config:
+    return uvicorn.Config(
+        app,
+        host=host,
         port=port,
         log_level='warning',
         access_log=False,
--- a/tests/cover/test_direct_targets.py
+++ b/tests/cover/test_direct_targets.py
@@ -106,8 +106,8 @@
         return entry.has_room(candidate)
 
     def send():
-        entry.started(site.records[0], CALL)
-        entry.finished(site.records[0], CALL)
+        entry.started(site.records[0])
+        entry.finished(site.records[0])
 
     for _ in range(3):
         assert has_room()
