Call the store and engines through one client, share what programs start with

The clients of the store and of an engine each kept connections, sent and timed out in their own way: http1/client.py does it for both. The deployed programs repeated the options and the collector settings of the others: cli/process.py, which loads none of the libraries that agents leave out. Placements are built from experts in placement.py, for the coordinator and its stand-in. In the coordinator: a constant in place of a method that returned one, no second copy of the epoch, experts packed once for each map instead of for each status.

--- a/src/wagtailhollow/cli/common.py
+++ b/src/wagtailhollow/cli/common.py
@@ -4,42 +4,31 @@
 
 import argparse
 import asyncio
-import gc
 import sys
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import uvloop
 
-from .. import __version__
 from ..internal.daemon import lifecycle
 from ..internal.observability import logs
 from ..internal.settings import loader
+from . import process
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-
-GC_THRESHOLD = 20_000
+EXIT_OK = process.EXIT_OK
+EXIT_FAILED = process.EXIT_FAILED
+EXIT_USAGE = process.EXIT_USAGE
 
 
 def parser(program: str, description: str) -> argparse.ArgumentParser:
     """Return a parser with the options that every program has."""
-    result = argparse.ArgumentParser(prog=program, description=description)
-    result.add_argument(
-        '--version', action='version', version=f'{program} {__version__}'
-    )
+    result = process.parser(program, description)
     result.add_argument(
         '--settings',
         required=True,
         metavar='FILE',
         help='settings file, JSON with comments (examples in etc/)',
     )
-    result.add_argument(
-        '--check-config',
-        action='store_true',
-        help='validate the settings file and exit',
-    )
     return result
 
 
@@ -68,7 +57,7 @@
         print(f'{args.settings}: ok')
         return EXIT_OK
     logs.configure(program, cfg.node, cfg.log_level)
-    _relax_garbage_collection()
+    process.relax_garbage_collection()
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         try:
             return runner.run(_run(cfg, create))
@@ -77,15 +66,5 @@
             return EXIT_USAGE
 
 
-def _relax_garbage_collection() -> None:
-    """Collect less often: each token allocates, and few objects form cycles.
-
-    What was imported is left out of every collection.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(GC_THRESHOLD, 20, 50)
-
-
 async def _run(cfg: Any, create: Callable[[Any], lifecycle.Daemon]) -> int:
     return await lifecycle.run(create(cfg))
--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -16,7 +16,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import time
 from collections.abc import Callable, Collection, Mapping
 from typing import Protocol
@@ -37,11 +36,11 @@
 """The same while weights arrive; the message has the whole map, and a status
 shows within 0.1 s that it came."""
 
-HOLD_MARGIN_S = 0.06
-"""Time for all ranks to be armed before the held step begins: a message each
-way and an order, about 20 ms, with one repetition."""
+MARGIN_STEPS = 3
+"""Steps from the present one to the held one. Until it begins all ranks have
+to be armed: a message each way and an order, 20 ms, or 60 ms with a repeated
+order, which is one step; two more are kept for what is under way."""
 
-MIN_MARGIN_STEPS = 2
 PREPARE_TIMEOUT_S = 2.5
 """Four weights of 0.15 s, and orders that have to be repeated."""
 
@@ -150,7 +149,6 @@
         self._intent: messages.Intent | None = None
         self._direct: dict[int, rank.RankDriver] = {}
         self._highest_version = 0
-        self._epoch: tuple[str, int] | None = None
         self.skew = 0.0
         self._choices = 0
 
@@ -176,7 +174,6 @@
 
     async def _lead(self) -> None:
         own = self._own_status()
-        self._epoch = (own.group, own.epoch)
         highest = max(self._view.highest_term(), self._own.term)
         term = (highest // TERM_STEP + 1) * TERM_STEP + own.rank
         decisions.log(
@@ -262,7 +259,8 @@
         own = self._own_status()
         if own is None:
             raise Interrupted('the own engine is silent')
-        if (own.group, own.epoch) != self._epoch or not own.is_open:
+        epoch = (self._intent.group, self._intent.epoch)
+        if (own.group, own.epoch) != epoch or not own.is_open:
             raise Interrupted('the group formed anew')
         heard = self._view.fresh(own)
         # A rank that promised another coordinator more obeys this one only
@@ -440,7 +438,7 @@
         if plan is None:
             return
         version = self._new_version(statuses)
-        experts = _by_rank(plan.placement)
+        experts = placement.experts_by_rank(plan.placement)
         began_s = time.monotonic()
         self._want(
             model.Phase.PREPARE,
@@ -469,7 +467,7 @@
         )
 
     async def _switch(self, version: int) -> None:
-        step = self._own_status().step + self._margin_steps()
+        step = self._own_status().step + MARGIN_STEPS
         if not await self._hold(step):
             # The order may be carried out later.
             await self._release(step)
@@ -492,12 +490,6 @@
         else:
             await self._abort(step)
 
-    def _margin_steps(self) -> int:
-        return MIN_MARGIN_STEPS + math.ceil(HOLD_MARGIN_S / self._pass_s())
-
-    def _pass_s(self) -> float:
-        return 0.06
-
     def _plan(self, statuses: Mapping[int, Status]) -> planner.Plan | None:
         layout = self._layout()
         if layout is None:
@@ -523,7 +515,7 @@
             or any(len(row) != layers for row in rows)
         ):
             return None
-        current = _placement(rows, layers, places)
+        current = placement.from_experts(rows, places)
         self._choices = round(sum(map(sum, seen)))
         self.skew = (
             sum(
@@ -561,35 +553,3 @@
         status.held_step != messages.NONE
         or status.armed_version != messages.NONE
     )
-
-
-def _placement(
-    rows: list[list[list[int]]], layers: int, places: int
-) -> placement.Placement:
-    """Return the placement of experts given by rank and layer."""
-    return placement.Placement(
-        tuple(
-            placement.LayerPlacement(
-                tuple(
-                    (
-                        *row[layer],
-                        *[placement.EMPTY] * (places - len(row[layer])),
-                    )
-                    for row in rows
-                )
-            )
-            for layer in range(layers)
-        )
-    )
-
-
-def _by_rank(new: placement.Placement) -> list[list[list[int]]]:
-    """Return the experts by rank and layer, without empty slots."""
-    ranks = len(new.layers[0].slots)
-    return [
-        [
-            [item for item in layer.slots[number] if item != placement.EMPTY]
-            for layer in new.layers
-        ]
-        for number in range(ranks)
-    ]
--- a/src/wagtailhollow/internal/experts/live/rank.py
+++ b/src/wagtailhollow/internal/experts/live/rank.py
@@ -22,7 +22,6 @@
     """Drives one rank; its engine may be on another host.
 
     :ivar report: the engine's last report, or None.
-    :ivar experts: experts of the rank in effect, by layer.
     """
 
     def __init__(self, engine: model.RankEngine) -> None:
@@ -32,7 +31,8 @@
         self._experts_of: tuple[int, int, int] | None = None
         self.refused_version = messages.NONE
         self.report: model.RankReport | None = None
-        self.experts: model.Layers = ()
+        # Packed once for each map, as every status carries them.
+        self._experts = b''
 
     @property
     def term(self) -> int:
@@ -96,7 +96,7 @@
             held_step=none if report.held_step is None else report.held_step,
             ordered_version=self._ordered_version,
             refused_version=self.refused_version,
-            experts=packing.pack_rank(self.experts),
+            experts=self._experts,
         )
 
     async def _read_experts(self, report: model.RankReport) -> None:
@@ -105,7 +105,7 @@
             return
         maps = await self._engine.maps()
         if (maps.epoch, maps.version) == key[1:]:
-            self.experts = maps.experts
+            self._experts = packing.pack_rank(maps.experts)
             self._experts_of = key
 
     async def _prepare(
--- a/src/wagtailhollow/internal/experts/placement.py
+++ b/src/wagtailhollow/internal/experts/placement.py
@@ -67,6 +67,33 @@
     )
 
 
+def from_experts(
+    ranks: Sequence[Sequence[Sequence[int]]], slots: int
+) -> Placement:
+    """Return the placement of experts given by rank and layer.
+
+    :param slots: slots of a rank in a layer; those left over are empty.
+    """
+    return Placement(
+        tuple(
+            LayerPlacement(
+                tuple((*row, *[EMPTY] * (slots - len(row))) for row in layer)
+            )
+            for layer in zip(*ranks, strict=True)
+        )
+    )
+
+
+def experts_by_rank(placed: Placement) -> list[list[list[int]]]:
+    """Return the experts by rank and layer, without empty slots."""
+    return [
+        [[item for item in row if item != EMPTY] for row in layers]
+        for layers in zip(
+            *(layer.slots for layer in placed.layers), strict=True
+        )
+    ]
+
+
 def moves_between(old: Placement, new: Placement) -> int:
     """Return how many expert weights must be loaded to go to *new*.
 
--- a/src/wagtailhollow/internal/platform/engine.py
+++ b/src/wagtailhollow/internal/platform/engine.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 from collections.abc import Mapping, Sequence
 from typing import Any
 
 from ..experts.live import model
-from ..http1 import connection
+from ..http1 import client, connection
 
 ANSWER_TIMEOUT_S = 0.06
 """An engine answers its own host in about 5 ms; an order that it left
@@ -26,9 +25,8 @@
     def __init__(
         self, address: str, timeout_s: float = ANSWER_TIMEOUT_S
     ) -> None:
-        self._address = address
         self._timeout_s = timeout_s
-        self._conn: connection.HttpConnection | None = None
+        self._http = client.HttpClient(address, timeout_s, max_idle=1)
 
     async def report(self) -> model.RankReport | None:
         """See :class:`model.RankEngine`."""
@@ -102,8 +100,7 @@
 
     def close(self) -> None:
         """Close the connection."""
-        if self._conn is not None:
-            self._conn.close()
+        self._http.close()
 
     async def _order(
         self, operation: str, epoch: int, **fields: Any
@@ -124,7 +121,7 @@
 
     async def _ask(self, path: str) -> Mapping[str, Any]:
         try:
-            status, body = await self._call('GET', path, b'')
+            status, body = await self._call('GET', path)
             if status == 200:
                 return json.loads(body)
         except (
@@ -137,24 +134,8 @@
         raise model.EngineSilent(f'{path}: status {status}')
 
     async def _call(
-        self, method: str, path: str, body: bytes
+        self, method: str, path: str, body: bytes = b''
     ) -> tuple[int, bytes]:
-        rows = [(b'Host', self._address.encode())]
-        if body:
-            rows.append((b'Content-Type', b'application/json'))
-            rows.append((b'Content-Length', str(len(body)).encode()))
-        req = connection.Request(
-            connection.request_head(method, path.encode(), rows), body
+        return await self._http.call(
+            method, path, self._timeout_s, MAX_ANSWER_BYTES, body
         )
-        if self._conn is None or not self._conn.is_usable:
-            self._conn = await connection.HttpConnection.open(
-                self._address, self._timeout_s
-            )
-        conn = self._conn
-        try:
-            async with asyncio.timeout(self._timeout_s):
-                head = await conn.send(req)
-                return head.status, await conn.read_all(MAX_ANSWER_BYTES)
-        except BaseException:
-            conn.close()
-            raise
--- a/src/wagtailhollow/internal/platform/store.py
+++ b/src/wagtailhollow/internal/platform/store.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import urllib.parse
 from collections.abc import Callable, Mapping
 from typing import Any, Generic, TypeVar
 
 from ..directory import changes
-from ..http1 import connection
+from ..http1 import client, connection
 from ..observability import decisions
 
 T = TypeVar('T')
@@ -31,16 +30,13 @@
     """Calls of the store's HTTP API over a few kept connections."""
 
     def __init__(self, address: str) -> None:
-        self._address = address
-        self._idle: list[connection.HttpConnection] = []
-        self.calls = 0
+        self._http = client.HttpClient(
+            address, CONNECT_TIMEOUT_S, MAX_IDLE_CONNECTIONS
+        )
 
     def move(self, address: str) -> None:
         """Use another address of the store from now on."""
-        if address != self._address:
-            self._address = address
-            while self._idle:
-                self._idle.pop().close()
+        self._http.move(address)
 
     async def get(
         self, kind: str, query: Mapping[str, str | int], wait_s: float = 0.0
@@ -53,41 +49,15 @@
         path = f'/objects/{urllib.parse.quote(kind)}'
         if query:
             path += '?' + urllib.parse.urlencode(query)
-        head = connection.request_head(
-            'GET', path.encode(), ((b'Host', self._address.encode()),)
-        )
-        self.calls += 1
-        conn = await self._connection()
-        try:
-            async with asyncio.timeout(wait_s + CALL_TIMEOUT_S):
-                found = await conn.send(connection.Request(head))
-                body = await conn.read_all(MAX_LISTING_BYTES)
-        except (connection.AnswerLost, TimeoutError) as exc:
-            conn.close()
-            raise changes.SourceUnavailable(f'{kind}: {exc!r}') from exc
-        except BaseException:
-            conn.close()
-            raise
-        self._release(conn)
-        return _document(kind, found.status, body)
-
-    async def _connection(self) -> connection.HttpConnection:
-        while self._idle:
-            conn = self._idle.pop()
-            if conn.is_usable:
-                return conn
         try:
-            return await connection.HttpConnection.open(
-                self._address, CONNECT_TIMEOUT_S
+            status, body = await self._http.call(
+                'GET', path, wait_s + CALL_TIMEOUT_S, MAX_LISTING_BYTES
             )
         except connection.ConnectFailed as exc:
             raise changes.SourceUnavailable(str(exc)) from exc
-
-    def _release(self, conn: connection.HttpConnection) -> None:
-        if conn.is_usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append(conn)
-        else:
-            conn.close()
+        except (connection.AnswerLost, TimeoutError) as exc:
+            raise changes.SourceUnavailable(f'{kind}: {exc!r}') from exc
+        return _document(kind, status, body)
 
 
 class ObjectSource(Generic[T]):
@@ -95,7 +65,7 @@
 
     def __init__(
         self,
-        client: StoreClient,
+        store: StoreClient,
         kind: str,
         decode: Decoder[T],
         is_stale: bool = False,
@@ -105,7 +75,7 @@
         :param is_stale: whether listings may be seconds old, which costs a
             tenth.
         """
-        self._client = client
+        self._store = store
         self._kind = kind
         self._decode = decode
         self._stale = {'allow_stale': 1} if is_stale else {}
@@ -116,7 +86,7 @@
         revision = None
         query: dict[str, str | int] = {}
         while True:
-            page = await self._client.get(self._kind, query | self._stale)
+            page = await self._store.get(self._kind, query | self._stale)
             for item in page.get('items', ()):
                 name, document = self._object(item)
                 if document is not None:
@@ -130,7 +100,7 @@
 
     async def watch(self, revision: int, wait_s: float) -> changes.Changes[T]:
         """See :meth:`changes.ChangeSource.watch`."""
-        page = await self._client.get(
+        page = await self._store.get(
             self._kind,
             {'watch': revision, 'wait_ms': int(wait_s * 1000)},
             wait_s,
--- a/standins/live_group.py
+++ b/standins/live_group.py
@@ -191,27 +191,12 @@
         now_s: float,
     ) -> planner.Plan:
         """See :meth:`planner.Planner.plan`."""
-        layers = [
-            [
-                [item for item in row if item != placement.EMPTY]
-                for row in layer.slots
-            ]
-            for layer in current.layers
-        ]
-        rows = layers[self._rng.randrange(len(layers))]
-        one, two = self._rng.sample(range(len(rows)), 2)
-        rows[one][0], rows[two][0] = rows[two][0], rows[one][0]
-        new = placement.Placement(
-            tuple(
-                placement.LayerPlacement(
-                    tuple(
-                        (*row, *[placement.EMPTY] * (PLACES - len(row)))
-                        for row in layer
-                    )
-                )
-                for layer in layers
-            )
-        )
+        ranks = placement.experts_by_rank(current)
+        layer = self._rng.randrange(len(current.layers))
+        one, two = self._rng.sample(range(len(ranks)), 2)
+        first, second = ranks[one][layer], ranks[two][layer]
+        first[0], second[0] = second[0], first[0]
+        new = placement.from_experts(ranks, PLACES)
         return planner.Plan(new, 2)
 
 
