--- a/src/wagtailhollow/cli/deployed.py
+++ b/src/wagtailhollow/cli/deployed.py
@@ -8,7 +8,7 @@
 
 from ..internal.daemon import lifecycle, settings_watch
 from ..internal.hostcfg import model
-from ..internal.observability import decisions, logs
+from ..internal.observability import decisions
 from ..internal.platform import settings
 from . import process
 
@@ -37,8 +37,8 @@
     if args.check_config:
         print(f'{file}: ok')
         return process.EXIT_OK
-    logs.configure(program, cfg.node, 'info')
     decisions.identify(program=program, node=cfg.node)
+    decisions.take_messages()
     process.relax_garbage_collection()
     return asyncio.run(_run(create(cfg), file))
 
--- a/src/wagtailhollow/internal/daemon/lifecycle.py
+++ b/src/wagtailhollow/internal/daemon/lifecycle.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import secrets
+import logging
+import os
 import signal
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
-from absl import logging
+# Each program sends these lines on in its own way; loading absl.logging here
+# would cost the programs that do not use it 3 MB each.
+_LOG = logging.getLogger(__name__)
 
 
 class Daemon(Protocol):
@@ -45,25 +48,25 @@
     try:
         await daemon.start()
     except OSError as exc:
-        logging.error('cannot start: %s', exc)
+        _LOG.error('cannot start: %s', exc)
         await daemon.stop()
         return 1
-    logging.info('started')
+    _LOG.info('started')
     await asked.wait()
-    logging.info('draining')
+    _LOG.info('draining')
     drain = asyncio.create_task(daemon.drain())
     insist = asyncio.create_task(insisted.wait())
     await asyncio.wait((drain, insist), return_when=asyncio.FIRST_COMPLETED)
     insist.cancel()
     drain.cancel()
     await daemon.stop()
-    logging.info('stopped')
+    _LOG.info('stopped')
     return 0
 
 
 def new_incarnation() -> int:
     """Return a number that differs for each start of a process."""
-    return secrets.randbits(62)
+    return int.from_bytes(os.urandom(8)) >> 2
 
 
 def background(coro: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -79,4 +82,4 @@
 def _log_failure(task: asyncio.Task[None]) -> None:
     exc = None if task.cancelled() else task.exception()
     if exc is not None:
-        logging.error('%r failed', task.get_coro(), exc_info=exc)
+        _LOG.error('%r failed', task.get_coro(), exc_info=exc)
--- a/src/wagtailhollow/internal/datagram/endpoint.py
+++ b/src/wagtailhollow/internal/datagram/endpoint.py
@@ -7,13 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from absl import logging
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
+_LOG = logging.getLogger(__name__)
+
 MAX_MESSAGE_BYTES = 8_192
 
 Handler = Callable[[Any, str], None]
@@ -86,7 +88,7 @@
         try:
             message = self.decode(data)
         except ValueError as exc:
-            logging.warning('datagram of %s dropped: %s', addr[0], exc)
+            _LOG.warning('datagram of %s dropped: %s', addr[0], exc)
             return
         handler = self._handlers.get(type(message))
         if handler is not None:
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -160,7 +160,12 @@
             ],
             cfg.listen_http,
             protocol=http_protocol.bounded_protocol(
-                cfg.request_limits, self._app.overloaded
+                http_protocol.ConnectionLimits(
+                    cfg.request_limits.max_connections,
+                    cfg.request_limits.max_header_bytes,
+                    cfg.request_limits.body_timeout_s,
+                ),
+                self._app.overloaded,
             ),
         )
         self._agents: dict[str, str] = {}
--- a/src/wagtailhollow/internal/entry/http_protocol.py
+++ b/src/wagtailhollow/internal/entry/http_protocol.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import json
 
 from starlette import types
 from uvicorn.protocols.http import httptools_impl
 
 from ... import errors
-from ..settings import schema
 
 LINGER_S = 1.0
 """How long a refused connection is read on, so that no reset overtakes the
@@ -29,8 +29,21 @@
 }
 
 
+@dataclasses.dataclass(frozen=True)
+class ConnectionLimits:
+    """Bounds on callers' connections.
+
+    :ivar max_connections: open at a time.
+    :ivar body_timeout_s: time for the head of a request, and for its body.
+    """
+
+    max_connections: int = 2_048
+    max_header_bytes: int = 16_384
+    body_timeout_s: float = 10.0
+
+
 def bounded_protocol(
-    limits: schema.RequestLimits, overloaded: types.ASGIApp
+    limits: ConnectionLimits, overloaded: types.ASGIApp
 ) -> type[BoundedProtocol]:
     """Return the protocol class for *limits*.
 
@@ -46,7 +59,7 @@
 class BoundedProtocol(httptools_impl.HttpToolsProtocol):
     """One caller's connection."""
 
-    limits: schema.RequestLimits
+    limits: ConnectionLimits
     overloaded: types.ASGIApp
 
     def connection_made(self, transport: asyncio.Transport) -> None:
--- a/src/wagtailhollow/internal/experts/observation.py
+++ b/src/wagtailhollow/internal/experts/observation.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import dataclasses
-import statistics
 from collections.abc import Sequence
 
 SMOOTHING = 0.3
@@ -102,6 +101,9 @@
             if seconds is not None and loads[rank] > 0
         }
         if ratio:
+            # Not loaded by agents that only pass observations on.
+            import statistics
+
             typical = statistics.median(ratio.values())
             for rank, value in ratio.items():
                 is_slow = value > SLOW_RATIO * typical
--- a/src/wagtailhollow/internal/observability/decisions.py
+++ b/src/wagtailhollow/internal/observability/decisions.py
@@ -9,11 +9,14 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
+from .redaction import redact
+
 LINES_PER_S = 400
 """Rate of lines; a busy entry writes about 3 for each of its 100 calls/s."""
 
@@ -63,7 +66,34 @@
             self._dropped += 1
 
 
+class MessageHandler(logging.Handler):
+    """Writes the lines of the standard library's loggers as decisions."""
+
+    def __init__(self, log: DecisionLog) -> None:
+        super().__init__()
+        self._log = log
+        self._formatter = logging.Formatter()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """See :class:`logging.Handler`."""
+        fields = {'level': record.levelname.lower()}
+        if record.exc_info:
+            fields['exception'] = redact(
+                self._formatter.formatException(record.exc_info)
+            )
+        self._log.log('message', text=redact(record.getMessage()), **fields)
+
+
 _LOG = DecisionLog()
 identify = _LOG.identify
 log = _LOG.log
 observers = _LOG.observers
+
+
+def take_messages() -> None:
+    """Write what the libraries and the daemon's life cycle log, too."""
+    logging.basicConfig(
+        level=logging.INFO, handlers=[MessageHandler(_LOG)], force=True
+    )
+    for name in ('uvicorn', 'uvicorn.error', 'uvicorn.access'):
+        logging.getLogger(name).setLevel(logging.WARNING)
--- a/src/wagtailhollow/internal/observability/logs.py
+++ b/src/wagtailhollow/internal/observability/logs.py
@@ -10,19 +10,16 @@
 import datetime
 import json
 import logging as stdlib_logging
-import re
 import sys
 
 from absl import flags, logging
 
+from .redaction import redact
+
 request_id: contextvars.ContextVar[str] = contextvars.ContextVar(
     'request_id', default=''
 )
 
-_SECRET = re.compile(
-    r'(?i)(bearer\s+|"secret"\s*:\s*"?|api[_-]?key[=:]\s*)[^\s",}]+'
-)
-
 
 class _JsonFormatter(stdlib_logging.Formatter):
     def __init__(self, program: str, node: str) -> None:
@@ -46,11 +43,6 @@
         return json.dumps(line, ensure_ascii=False)
 
 
-def redact(text: str) -> str:
-    """Return *text* with API keys and deployment secrets removed."""
-    return _SECRET.sub(r'\1[redacted]', text)
-
-
 def configure(program: str, node: str, level: str) -> None:
     """Send all log lines of the process to stderr as JSON lines."""
     # absl warns on each line while its flags are unparsed; argparse is used.
--- /dev/null
+++ b/src/wagtailhollow/internal/observability/redaction.py
@@ -0,0 +1,14 @@
+"""Keeps secrets out of logs."""
+
+from __future__ import annotations
+
+import re
+
+_SECRET = re.compile(
+    r'(?i)(bearer\s+|"secret"\s*:\s*"?|api[_-]?key[=:]\s*)[^\s",}]+'
+)
+
+
+def redact(text: str) -> str:
+    """Return *text* with API keys and deployment secrets removed."""
+    return _SECRET.sub(r'\1[redacted]', text)
