Wait for targets that serve; calls in time go before late ones

Callers refused for want of a fresh configuration came back after 1 s, late, although another entry would have served them at once. Calls that were late filled the queues at targets. Now a later start at an address replaces the earlier one, a target that answers 421 is left out, a refusal that names another rank closes the group for 0.25 s, closed targets are waited for, late calls leave a third of the slots free, X-Request-Priority orders the queues, and a refusal for an old configuration says 0.05 s. Also: a stream that ends inside an event is resumed; a 429 or 503 without 'not executed' is not passed on for a call that must run once.

--- a/deploy/hosts.thrift
+++ b/deploy/hosts.thrift
@@ -43,6 +43,7 @@
   5: bool is_open,
   6: i64 step,
   7: i64 memory_used,
+  8: string group,
 }
 
 struct Subscribe {
--- a/src/wagtailhollow/errors.py
+++ b/src/wagtailhollow/errors.py
@@ -121,6 +121,11 @@
 }
 
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses by which callers of the deployed entry know that a call did not run
+and never will."""
+
+
 class Refusal(Exception):
     """A call, frame or order failed with a kind from the closed list.
 
--- a/src/wagtailhollow/internal/agent/direct/compose.py
+++ b/src/wagtailhollow/internal/agent/direct/compose.py
@@ -293,5 +293,6 @@
             is_open=report.is_open,
             step=report.step,
             memory_used=report.memory_used,
+            group=report.group,
         )
         self._endpoint.send(message, self._entries, self._port)
--- a/src/wagtailhollow/internal/datagram/messages.py
+++ b/src/wagtailhollow/internal/datagram/messages.py
@@ -100,11 +100,13 @@
     ('is_open', TType.BOOL, True),
     ('step', TType.I64, 0),
     ('memory_used', TType.I64, 0),
+    ('group', TType.STRING, ''),
 )
 class LoadReport(TBase.TBase):
     """Load of one target, sent by its agent to the entries.
 
     :ivar entries: entries that asked for reports lately.
+    :ivar group: group whose ranks serve together, empty if none.
     """
 
 
--- a/src/wagtailhollow/internal/directory/state.py
+++ b/src/wagtailhollow/internal/directory/state.py
@@ -20,6 +20,7 @@
         self._clock = clock
         self._routes: dict[str, list[model.Route]] = {}
         self._targets: dict[str, model.TargetRecord] = {}
+        self._at_address: dict[str, str] = {}
         self._missing_until: dict[str, float] = {}
         self._seen_s: dict[tuple[str, int], float] = {}
         self._grace_until_s = 0.0
@@ -127,8 +128,11 @@
         )
 
     def _register(self, record: model.TargetRecord, now_s: float) -> None:
+        if not self._is_newest_at_address(record):
+            return
         before = self._targets.get(record.name)
         self._targets[record.name] = record
+        self._at_address[record.address] = record.name
         self._missing_until.pop(record.name, None)
         if before is None or before.cold_s != record.cold_s:
             self._seen_s[record.incarnation] = now_s
@@ -143,15 +147,36 @@
                 cold_s=record.cold_s,
             )
 
+    def _is_newest_at_address(self, record: model.TargetRecord) -> bool:
+        """Return whether no later start has the address of *record*.
+
+        After a loss of power a registration stays for some seconds beside
+        that of the target's next start; earlier ones are removed here.
+        """
+        other = self._targets.get(self._at_address.get(record.address, ''))
+        if other is None or other.name == record.name:
+            return True
+        if other.born_ms > record.born_ms:
+            return False
+        if other.born_ms < record.born_ms:
+            decisions.log('target_replaced', target=other.name, by=record.name)
+            self._drop(other.name)
+        return True
+
+    def _drop(self, name: str) -> None:
+        self._missing_until.pop(name, None)
+        record = self._targets.pop(name)
+        if self._at_address.get(record.address) == name:
+            del self._at_address[record.address]
+        self._seen_s.pop(record.incarnation, None)
+
     def _remove(self, name: str, now_s: float) -> None:
         until_s = self._missing_until.get(name, self._grace_until_s)
         if now_s < until_s:
             self._missing_until[name] = until_s
             decisions.log('target_lapsed', target=name)
             return
-        self._missing_until.pop(name, None)
-        record = self._targets.pop(name)
-        self._seen_s.pop(record.incarnation, None)
+        self._drop(name)
         decisions.log('target_gone', target=name)
 
 
--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -65,7 +65,9 @@
     def candidates(self, call: call_module.Call) -> list[policy.Candidate]:
         """Return the targets that may take the call, by what is known."""
 
-    def has_room(self, candidate: policy.Candidate) -> bool:
+    def has_room(
+        self, call: call_module.Call, candidate: policy.Candidate
+    ) -> bool:
         """Return whether a call should be sent there rather than wait."""
 
     def attempt(
@@ -142,7 +144,7 @@
         untried = [
             item
             for item in candidates
-            if item.target not in tried and self._targets.has_room(item)
+            if item.target not in tried and self._targets.has_room(call, item)
         ]
         if not untried:
             kind = (
--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import time
 
-from absl import logging
-
 from .... import errors
 from ...directory import model, state
 from ...http1 import connection
@@ -18,6 +17,8 @@
 from . import attempts, freshness, routed
 from . import sink as sink_module
 
+_LOG = logging.getLogger(__name__)
+
 ROUTING_POLICY = 'power_of_two'
 START_RETRY_S = 0.5
 """Retry-After of an entry without a configuration: it reads one in about
@@ -67,7 +68,7 @@
         except ConnectionError:
             result = 'caller_left'
         except Exception:
-            logging.exception('call %s failed', request_id)
+            _LOG.exception('call %s failed', request_id)
             result = errors.ErrorKind.INTERNAL.value
             await sink.refuse(
                 errors.Refusal(errors.ErrorKind.INTERNAL, 'the entry failed'),
@@ -85,6 +86,7 @@
                 result=result,
                 status=sink.status,
                 events=sink.position.events,
+                allowed_s=round(call.deadline_s - call.arrived_s, 3),
                 took_s=round(time.monotonic() - call.arrived_s, 3),
             )
 
@@ -146,6 +148,7 @@
             sent_headers=attempts.forwarded(rows),
             target_path=_target_path(scope),
             has_key=organisation is not None,
+            priority=_priority(route, organisation),
         )
 
     def _route(self, scope: requests.Scope) -> model.Route:
@@ -201,6 +204,14 @@
     return scope['raw_path'] + (b'?' + query if query else b'')
 
 
+def _priority(
+    route: model.Route, organisation: model.Organisation | None
+) -> int:
+    if organisation is not None and organisation.priority is not None:
+        return organisation.priority
+    return route.priority
+
+
 def _choose_service(route: model.Route) -> str:
     if len(route.shares) == 1:
         return route.shares[0].service
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from collections.abc import Callable
 from typing import NoReturn
 
@@ -13,7 +14,7 @@
 from ...observability import decisions
 from ...platform import headers
 from ..attempt import Attempt, AttemptFailed, Phase
-from . import routed, sink, targets
+from . import events, routed, sink, targets
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Longest answer that is not a stream; held until it is whole."""
@@ -24,6 +25,10 @@
 
 MAX_IDLE_S = 20.0
 
+PRIORITY_RANKS = 4
+"""Operators' priorities that are told apart: a target's queue knows 10, one
+is for broken streams, and calls that are late have as many as others."""
+
 STREAM_SILENCE_S = 1.2
 """Silence after which a stream is resumed elsewhere. The caller gives up
 after 2 s; a pass of a group takes up to about 0.3 s."""
@@ -87,6 +92,7 @@
             _fail(Phase.REFUSED, errors.ErrorKind.NO_TARGET, 'target is gone')
         answer.served_by(record.data_centre)
         exchange = _Exchange(attempt, record, answer)
+        began_s = time.monotonic()
         self._view.started(record)
         result = 'failed'
         try:
@@ -113,6 +119,9 @@
                 load=round(attempt.candidate.load, 2),
                 result=result,
                 events=exchange.position.events,
+                waited_s=round(began_s - attempt.call.arrived_s, 3),
+                head_s=exchange.head_s and round(exchange.head_s - began_s, 3),
+                took_s=round(time.monotonic() - began_s, 3),
             )
 
     async def _run(self, exchange: _Exchange) -> None:
@@ -158,6 +167,7 @@
         self.call: routed.RoutedCall = attempt.call
         self.record = record
         self.is_sent = False
+        self.head_s: float | None = None
         self._sink = answer
         self.position = answer.position
 
@@ -168,8 +178,9 @@
         try:
             self.is_sent = True
             head = await conn.send(self._request())
+            self.head_s = time.monotonic()
             view.note_load(self.record, head.get(headers.LOAD))
-            self._refused(head)
+            self._refused(head, view)
             if self.call.is_stream and head.status == 200:
                 await self._stream(conn, head)
             else:
@@ -195,6 +206,7 @@
         left_ms = max(1, int(call.remaining_s() * 1000))
         rows.append((headers.DEADLINE, str(left_ms).encode()))
         rows.append((headers.EXPECTED_TARGET, self.record.name.encode()))
+        rows.append((headers.PRIORITY, _priority(call, self.position)))
         if call.organisation:
             rows.append((headers.ORGANISATION, call.organisation.encode()))
         if self.position.last_id:
@@ -205,8 +217,16 @@
             call.call_id.encode('latin-1'),
         )
 
-    def _refused(self, head: connection.Head) -> None:
+    def _refused(
+        self, head: connection.Head, view: targets.DirectTargets
+    ) -> None:
         """Raise if the target says that it did not execute the call."""
+        at_fault = head.get(headers.AT_FAULT)
+        if head.status == 503 and at_fault not in (
+            b'',
+            self.record.name.encode(),
+        ):
+            view.group_refused(self.record)
         if head.status == 421:
             _fail(
                 Phase.REFUSED,
@@ -231,6 +251,14 @@
                 errors.ErrorKind.ENGINE_FAILED,
                 f'the target answered {head.status}',
             )
+        if head.status in errors.NOT_RUN_STATUSES and (
+            self.call.must_not_repeat
+        ):
+            # Passed on, it would say that the call never runs.
+            self.fail(
+                errors.ErrorKind.OUTCOME_UNKNOWN,
+                f'the target answered {head.status} and may have run the call',
+            )
         self._check_success(head)
         await self._sink.whole(answer)
 
@@ -242,6 +270,8 @@
         rows = [row for row in head.headers if row[0] != b'content-length']
         while True:
             data = await self._next(conn)
+            if not data and self.position.rest().strip():
+                raise connection.AnswerLost('the stream ended in an event')
             whole = self.position.take(data) if data else self.position.rest()
             if (whole or not data) and not self._sink.is_started:
                 await self._sink.start(head.status, rows)
@@ -272,5 +302,19 @@
             )
 
 
+def _priority(
+    call: routed.RoutedCall, position: events.EventPosition
+) -> bytes:
+    """Return the order in which a target's queue is served, 0 is first.
+
+    A stream that broke off has a caller who waits for its next event. Calls
+    that are late already do not delay those that can still be in time.
+    """
+    if position.events:
+        return b'0'
+    rank = min(max(call.priority, 0), PRIORITY_RANKS - 1)
+    return b'%d' % (1 + rank + PRIORITY_RANKS * call.is_late)
+
+
 def _fail(phase: Phase, kind: errors.ErrorKind, message: str) -> NoReturn:
     raise AttemptFailed(phase, errors.Refusal(kind, message))
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -18,7 +18,6 @@
 from ...platform import targets as registrations
 from ...retries import budget
 from ...routing import power_of_two
-from ...settings import schema
 from .. import calls, http_protocol
 from . import app, attempts, freshness, routed, targets
 
@@ -65,6 +64,10 @@
 MAX_WAIT_SHARE = 0.35
 """Callers come back after up to a third of the time that they have left."""
 
+MAX_REJECTIONS = 6
+"""Targets that may turn one call away before it is refused; each rejection
+draws on the retry budget."""
+
 UNKNOWN_ENTRIES = 16
 """Entries that share a budget while their number is not known: more than a
 deployment of today's size has."""
@@ -126,14 +129,14 @@
             None,
             MAX_WAIT_S,
             calls.RetryRules(
-                max_rejections=3,
+                max_rejections=MAX_REJECTIONS,
                 do_rejections_spend=True,
                 max_wait_share=MAX_WAIT_SHARE,
                 new_budget=self._new_budget,
             ),
         )
         self._app = app.RoutedApp(self._directory, self._fresh, handler)
-        limits = schema.RequestLimits(
+        limits = http_protocol.ConnectionLimits(
             max_connections=MAX_CONNECTIONS, body_timeout_s=15.0
         )
         self._callers = http.HttpServer(
@@ -246,6 +249,7 @@
                     message.running,
                     message.waiting,
                     message.is_open,
+                    message.group,
                 )
 
     def _check(self, call: routed.RoutedCall) -> None:
@@ -257,6 +261,7 @@
         self._connections.keep_only(
             {item.incarnation for item in self._directory.all_targets()}
         )
+        self._targets.targets_changed()
 
     def _cold_limit(self, service: model.Service) -> float:
         """Return this entry's part of what a cold target bears in 1 s."""
--- a/src/wagtailhollow/internal/entry/direct/freshness.py
+++ b/src/wagtailhollow/internal/entry/direct/freshness.py
@@ -13,7 +13,9 @@
 """A manifest has to be in force 2 s after it was accepted; an older proof
 cannot tell that a route or key does not exist."""
 
-RETRY_AFTER_S = 1.0
+RETRY_AFTER_S = 0.05
+"""The caller's next attempt reaches another entry, which may hear the store;
+this leaves it most of the 0.15 to 0.5 s in which an answer is on time."""
 
 
 class Freshness:
--- a/src/wagtailhollow/internal/entry/direct/sink.py
+++ b/src/wagtailhollow/internal/entry/direct/sink.py
@@ -17,9 +17,6 @@
 Send = Callable[[Mapping[str, Any]], Awaitable[None]]
 
 _REQUEST_ID = b'x-request-id'
-_PROMISES = frozenset({408, 421, 429, 503})
-"""Statuses that promise that the call did not run and never will."""
-
 _UNPROVEN_STATUS = 502
 _HOP_BY_HOP = frozenset(
     {b'connection', b'keep-alive', b'transfer-encoding', b'upgrade'}
@@ -133,7 +130,7 @@
         answer = exc.answer
         if record is not None and record.may_have_run:
             answer = answer.uncertain()
-            if answer.status in _PROMISES:
+            if answer.status in errors.NOT_RUN_STATUSES:
                 answer = dataclasses.replace(answer, status=_UNPROVEN_STATUS)
         document = {
             'error': {
@@ -145,7 +142,10 @@
             }
         }
         headers = [(b'content-type', b'application/json')]
-        if answer.status in _PROMISES and exc.retry_after_s is not None:
+        if (
+            answer.status in errors.NOT_RUN_STATUSES
+            and exc.retry_after_s is not None
+        ):
             headers.append((b'retry-after', b'%.2f' % exc.retry_after_s))
         await self.whole(
             WholeAnswer(answer.status, headers, json.dumps(document).encode())
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 
+from .... import errors
 from ...directory import model, state
 from ...observability import decisions
 from ...routing import policy
@@ -23,6 +24,14 @@
 COLD_WINDOW_S = 1.0
 """Window of the bound on what a cold target gets."""
 
+LATE_SHARE = 0.67
+"""Load up to which a target takes calls that are late; half of the slots are
+in use at the usual rate."""
+
+CLOSED_S = 0.25
+"""How long a target that turned a call away gets none. Its agent reports
+within 0.15 s whether its group serves."""
+
 MAX_WAITING_SHARE = 0.5
 """Calls that may wait at a target, as a share of its slots. One slot in six
 is free again after about 0.2 s; more would wait longer than the 0.5 s in
@@ -64,6 +73,9 @@
         self._outstanding: collections.Counter[str] = collections.Counter()
         self._reports: dict[str, _Report] = {}
         self._avoid_until_s: dict[str, float] = {}
+        self._closed_until_s: dict[str, float] = {}
+        self._groups: dict[str, str] = {}
+        self._replaced: set[tuple[str, int]] = set()
 
     def is_connected(self, call: routed.RoutedCall) -> bool:
         """See :class:`calls.TargetSource`."""
@@ -74,11 +86,13 @@
     def candidates(self, call: routed.RoutedCall) -> list[policy.Candidate]:
         """See :class:`calls.TargetSource`.
 
-        Full targets are left out as long as their load is known well.
+        A target that turns calls away is left out even if there is no other:
+        the call waits for one that can take it. One that failed is left out
+        only while there are others.
         """
         records = self._directory.targets(call.service_name)
         now_s = self._clock()
-        usable = [item for item in records if self._is_open(item)] or records
+        usable = [item for item in records if self._is_open(item)]
         healthy = [
             record
             for record in usable
@@ -86,12 +100,20 @@
         ]
         return [self._candidate(record) for record in healthy or usable]
 
-    def has_room(self, candidate: policy.Candidate) -> bool:
-        """See :class:`calls.TargetSource`."""
+    def has_room(
+        self, call: routed.RoutedCall, candidate: policy.Candidate
+    ) -> bool:
+        """See :class:`calls.TargetSource`.
+
+        A call that is late already leaves places for those that can still be
+        answered in time: a batch that is full takes twice as long for each
+        token, so a backlog makes all that come after it late, too.
+        """
         record = self._directory.ready(candidate.target)
+        limit = LATE_SHARE if call.is_late else 1 + MAX_WAITING_SHARE
         return (
             record is not None
-            and candidate.load < 1 + MAX_WAITING_SHARE
+            and candidate.load < limit
             and self._bears_more(record)
         )
 
@@ -124,10 +146,13 @@
     def failed(self, record: model.TargetRecord, exc: AttemptFailed) -> None:
         """Avoid a target for a while after it failed."""
         if exc.phase is Phase.REFUSED:
-            pause_s = AVOID_S / 4
+            pause_s = CLOSED_S
+            self._closed_until_s[record.name] = self._clock() + pause_s
         else:
             pause_s = AVOID_S
-        self._avoid_until_s[record.name] = self._clock() + pause_s
+            self._avoid_until_s[record.name] = self._clock() + pause_s
+        if exc.refusal.kind is errors.ErrorKind.STALE_INCARNATION:
+            self._replaced.add(record.incarnation)
         decisions.log(
             'target_avoided',
             target=record.name,
@@ -136,6 +161,31 @@
             pause_s=pause_s,
         )
 
+    def group_refused(self, record: model.TargetRecord) -> None:
+        """Close all targets of a group that does not serve for a moment."""
+        group = self._groups.get(record.name)
+        names = [
+            name for name, of in self._groups.items() if group and of == group
+        ]
+        until_s = self._clock() + CLOSED_S
+        self._closed_until_s |= dict.fromkeys(names, until_s)
+        decisions.log('group_closed', group=group, targets=len(names))
+
+    def targets_changed(self) -> None:
+        """Forget the targets that are gone."""
+        records = self._directory.all_targets()
+        names = {item.name for item in records}
+        self._replaced &= {item.incarnation for item in records}
+        for known in (
+            self._avoid_until_s,
+            self._closed_until_s,
+            self._groups,
+            self._reports,
+            self._sent,
+        ):
+            for name in known.keys() - names:
+                del known[name]
+
     def note_load(self, record: model.TargetRecord, value: bytes) -> None:
         """Take the load that a target put into an answer."""
         parts = value.split(b',')
@@ -144,12 +194,20 @@
             self.take_report(record.name, running, waiting)
 
     def take_report(
-        self, name: str, running: int, waiting: int, is_open: bool = True
+        self,
+        name: str,
+        running: int,
+        waiting: int,
+        is_open: bool = True,
+        group: str = '',
     ) -> None:
         """Take a load report that was made now.
 
         :param is_open: whether the target's group serves.
+        :param group: name of that group, empty if not told.
         """
+        if group:
+            self._groups[name] = group
         self._reports[name] = _Report(
             self._clock(), running, waiting, self._outstanding[name], is_open
         )
@@ -171,6 +229,11 @@
         return len(sent) + 1 <= max(1.0, self._cold_limit(service))
 
     def _is_open(self, record: model.TargetRecord) -> bool:
+        if (
+            record.incarnation in self._replaced
+            or self._closed_until_s.get(record.name, 0.0) > self._clock()
+        ):
+            return False
         report = self._fresh_report(record)
         return report is None or report.is_open
 
--- a/src/wagtailhollow/internal/platform/headers.py
+++ b/src/wagtailhollow/internal/platform/headers.py
@@ -12,6 +12,9 @@
 
 RECEIPT = b'x-engine-signature'
 NOT_EXECUTED = b'x-not-executed'
+AT_FAULT = b'at-server'
+"""Target whose state made another one refuse: a rank of the same group."""
+
 LOAD = b'x-engine-load'
 """Running, waiting and slots, separated by commas."""
 
--- a/standins/deployed.py
+++ b/standins/deployed.py
@@ -155,7 +155,9 @@
 
     ``behaviours`` are used up one a request: ``shed`` (not executed),
     ``fail`` (500), ``wrong`` (421), ``cut`` (no answer), ``break`` (a stream
-    ends in the middle of an event), ``hang``, ``bare`` (no receipt).
+    ends in the middle of an event), ``torn`` (the same, but the answer is
+    framed as if it were whole), ``hang``, ``bare`` (no receipt), ``busy`` (503
+    that does not say whether the call ran).
     """
 
     def __init__(self, name: str, service: str) -> None:
@@ -209,6 +211,10 @@
             return responses.Response(
                 b'failed', status_code=500, headers=headers
             )
+        if behaviour == 'busy':
+            return responses.Response(
+                b'busy', status_code=503, headers=headers
+            )
         if behaviour == 'bare':
             return responses.Response(b'bare', headers=echo)
         if behaviour == 'hang':
@@ -237,8 +243,10 @@
         first = int(seen.headers.get('last-event-id', 0)) + 1
         for number in range(first, EVENTS + 1):
             event = event_bytes(number)
-            if behaviour == 'break' and number == EVENTS // 2:
+            if behaviour in ('break', 'torn') and number == EVENTS // 2:
                 yield event[:6]
+                if behaviour == 'torn':
+                    return
                 req.scope['abort_connection']()
                 return
             yield event
--- a/tests/cover/test_direct_entry.py
+++ b/tests/cover/test_direct_entry.py
@@ -65,6 +65,56 @@
     play(scenario)
 
 
+def test_stream_that_ends_inside_an_event_is_not_whole():
+    """Guards against a stream that looks complete before its last event."""
+
+    async def scenario(site):
+        for engine in site.of(deployed.SERVICE):
+            engine.behaviours = ['torn']
+        async with site.call('stream', 'r1') as resp:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await resp.read()
+        site.of(deployed.SERVICE)[0].behaviours = ['torn']
+        for number in range(2, 6):
+            async with site.call('stream', f'r{number}') as resp:
+                assert await resp.read() == deployed.STREAM
+
+    play(scenario)
+
+
+def test_broken_stream_is_admitted_first():
+    """Guards against callers who wait in a queue for the next event."""
+
+    async def scenario(site):
+        for engine in site.of(deployed.SERVICE):
+            engine.behaviours = ['break', 'break']
+        async with site.call('stream') as resp:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await resp.read()
+        seen = [
+            item.headers['x-request-priority']
+            for engine in site.of(deployed.SERVICE)
+            for item in engine.seen
+        ]
+        assert sorted(seen) == ['0', '1']
+
+    play(scenario)
+
+
+def test_answer_that_would_deny_an_execution_is_not_passed_on():
+    """Guards against a status that promises that an order never runs."""
+
+    async def scenario(site):
+        for engine in site.of(deployed.PLAIN):
+            engine.behaviours = ['busy']
+        async with site.call('once') as resp:
+            assert resp.status in (502, 504)
+            assert deployed.RECEIPT not in resp.headers
+        assert site.runs(deployed.PLAIN) == 1
+
+    play(scenario)
+
+
 def test_call_that_runs_once_is_not_sent_again_after_a_lost_answer():
     """Guards against an order placed twice, or refused although it ran."""
 
--- a/tests/cover/test_direct_targets.py
+++ b/tests/cover/test_direct_targets.py
@@ -8,13 +8,15 @@
 
 import pytest
 
+from wagtailhollow import errors
 from wagtailhollow.internal.directory import follow, model, state
+from wagtailhollow.internal.entry import attempt
 from wagtailhollow.internal.entry.direct import targets
 from wagtailhollow.internal.routing import power_of_two
 
 SERVICE = 's'
 SLOTS = 6
-CALL = types.SimpleNamespace(service_name=SERVICE)
+CALL = types.SimpleNamespace(service_name=SERVICE, is_late=False)
 
 
 def record(number):
@@ -103,7 +105,7 @@
 
     def has_room():
         (candidate,) = entry.candidates(CALL)
-        return entry.has_room(candidate)
+        return entry.has_room(CALL, candidate)
 
     def send():
         entry.started(site.records[0])
@@ -133,4 +135,66 @@
     (entry,) = site.entries
     entry.take_report('i-0', SLOTS, waiting)
     (candidate,) = entry.candidates(CALL)
-    assert entry.has_room(candidate) is room
+    assert entry.has_room(CALL, candidate) is room
+
+
+def test_late_calls_leave_places_for_those_in_time():
+    """Pattern: a backlog after an outage, with new calls arriving.
+
+    Guards against a backlog that fills all slots, so that the calls after
+    it, which could be in time, are late as well.
+    """
+    site = Site(entries=1, count=1)
+    (entry,) = site.entries
+    late = types.SimpleNamespace(service_name=SERVICE, is_late=True)
+    room = {}
+    for running in range(SLOTS + 1):
+        entry.take_report('i-0', running, 0)
+        (candidate,) = entry.candidates(CALL)
+        room[running] = (
+            entry.has_room(CALL, candidate),
+            entry.has_room(late, candidate),
+        )
+    assert all(in_time for in_time, _ in room.values())
+    assert room[SLOTS // 2][1], 'the backlog is served at the usual load'
+    assert not room[SLOTS - 1][1]
+
+
+def refused(kind):
+    return attempt.AttemptFailed(
+        attempt.Phase.REFUSED, errors.Refusal(kind, 'for the test')
+    )
+
+
+def test_replaced_target_gets_no_further_call():
+    """Pattern: all hosts lost power, old registrations are still listed.
+
+    Guards against calls that use up their attempts at addresses which
+    another target has taken over.
+    """
+    site = Site(entries=1, count=2)
+    (entry,) = site.entries
+    gone, other = site.records
+    entry.failed(gone, refused(errors.ErrorKind.STALE_INCARNATION))
+    site.now += 5.0
+    assert [item.target for item in entry.candidates(CALL)] == [other.name]
+    entry.failed(other, refused(errors.ErrorKind.STALE_INCARNATION))
+    assert not entry.candidates(CALL)
+    assert not entry.is_connected(CALL), 'the call waits for a new target'
+
+
+def test_group_that_turns_a_call_away_is_left_alone_for_a_moment():
+    """Pattern: one rank of a group is lost, all its ranks refuse.
+
+    Guards against a call that is refused for good after it asked several
+    ranks of the same group.
+    """
+    site = Site(entries=1, count=4)
+    (entry,) = site.entries
+    for number, item in enumerate(site.records):
+        entry.take_report(item.name, 0, 0, True, f'g{number % 2}')
+    entry.group_refused(site.records[0])
+    names = {item.target for item in entry.candidates(CALL)}
+    assert names == {'i-1', 'i-3'}
+    site.now += targets.CLOSED_S + 0.01
+    assert len(entry.candidates(CALL)) == 4
--- a/tests/cover/test_directory.py
+++ b/tests/cover/test_directory.py
@@ -115,6 +115,24 @@
     assert directory.targets('s') == []
 
 
+def test_later_start_at_an_address_replaces_the_earlier_one(directory):
+    """Guards against calls to targets that a loss of power has ended.
+
+    Their registrations stay for seconds beside those of the next start.
+    """
+    old = target('i-old', born_ms=1)
+    new = target('i-new', born_ms=2)
+    directory.apply_targets(update({'i-old': old, 'i-new': new}, True))
+    assert directory.targets('s') == [new]
+    # A change of the old one that arrives late.
+    directory.apply_targets(update({'i-old': target('i-old', slots=5)}))
+    assert directory.targets('s') == [new]
+    directory.apply_targets(update({'i-new': None}))
+    assert directory.targets('s') == []
+    directory.apply_targets(update({'i-old': old}))
+    assert directory.targets('s') == [old]
+
+
 def test_target_removed_without_an_outage_is_gone_at_once(directory):
     """Guards against a grace that keeps departed targets in use."""
     directory.apply_targets(update({'i': target('i')}))
