Do not drop a target that started again at another address

A registration replaced an earlier start at its address by the address under which that one was first seen; a target that had moved since was dropped although it lives. Whether a call has a target is answered without building candidates.

--- a/src/wagtailhollow/internal/directory/state.py
+++ b/src/wagtailhollow/internal/directory/state.py
@@ -154,7 +154,12 @@
         that of the target's next start; earlier ones are removed here.
         """
         other = self._targets.get(self._at_address.get(record.address, ''))
-        if other is None or other.name == record.name:
+        if (
+            other is None
+            or other.name == record.name
+            # It started again at another address.
+            or other.address != record.address
+        ):
             return True
         if other.born_ms > record.born_ms:
             return False
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -25,8 +25,8 @@
 """Window of the bound on what a cold target gets."""
 
 LATE_SHARE = 0.5
-"""Load up to which a target takes calls that are late: what is in use at the
-usual rate. Below it nothing may be refused."""
+"""Load up to which a target takes calls that are late: half of the slots are
+in use at the usual rate."""
 
 GAP_SHARE = 0.9
 """Part of the longest pause of a stream that a pass may take; the rest is for
@@ -100,7 +100,7 @@
 
     def is_connected(self, call: routed.RoutedCall) -> bool:
         """See :class:`calls.TargetSource`."""
-        return bool(self.candidates(call))
+        return bool(self._usable(call))
 
     def candidates(self, call: routed.RoutedCall) -> list[policy.Candidate]:
         """See :class:`calls.TargetSource`.
@@ -109,15 +109,8 @@
         the call waits for one that can take it. One that failed is left out
         only while there are others.
         """
-        records = self._directory.targets(call.service_name)
         now_s = self._clock()
-        standing = self._standing_groups()
-        usable = [
-            item
-            for item in records
-            if self._is_open(item)
-            and self._groups.get(item.name) not in standing
-        ]
+        usable = self._usable(call)
         healthy = [
             record
             for record in usable
@@ -278,6 +271,16 @@
         report = self._fresh_report_of(record.name)
         return report is None or report.is_open
 
+    def _usable(self, call: routed.RoutedCall) -> list[model.TargetRecord]:
+        """Return the targets that are not known to turn the call away."""
+        standing = self._standing_groups()
+        return [
+            record
+            for record in self._directory.targets(call.service_name)
+            if self._is_open(record)
+            and self._groups.get(record.name) not in standing
+        ]
+
     def _standing_groups(self) -> set[str]:
         """Return the groups that make no passes, by any of their ranks.
 
--- a/tests/cover/test_directory.py
+++ b/tests/cover/test_directory.py
@@ -133,6 +133,16 @@
     assert directory.targets('s') == [old]
 
 
+def test_target_that_moved_is_not_replaced_at_its_old_address(directory):
+    """Guards against dropping a target that started again elsewhere."""
+    directory.apply_targets(update({'i-1': target('i-1', born_ms=1)}, True))
+    moved = target('i-1', born_ms=2, address='10.0.0.2:80')
+    directory.apply_targets(update({'i-1': moved}))
+    new = target('i-2', born_ms=3)
+    directory.apply_targets(update({'i-2': new}))
+    assert directory.targets('s') == [moved, new]
+
+
 def test_target_removed_without_an_outage_is_gone_at_once(directory):
     """Guards against a grace that keeps departed targets in use."""
     directory.apply_targets(update({'i': target('i')}))
