Ask the agents of new targets for load reports at once

Calls were turned away by six ranks of closed groups and then refused. The test fails without the change.

--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import time
 
@@ -40,6 +41,9 @@
 SUBSCRIBE_PERIOD_S = 1.0
 """Agents forget an entry after 3 s."""
 
+FIRST_SUBSCRIBE_PERIOD_S = 0.1
+"""The same until targets and services were read from the store."""
+
 COLD_SHARE = 0.8
 """Part of a cold target's bound that is used; see BUDGET_SHARE."""
 
@@ -155,6 +159,8 @@
             http.operator_routes(self._not_ready_reason),
             f'{cfg.ip}:{METRICS_PORT}',
         )
+        self._new_targets = asyncio.Event()
+        self._subscribed: set[str] = set()
         self._entries = 0
         self._entries_heard: dict[str, tuple[float, int]] = {}
         self._port = cfg.internal_ports[0]
@@ -219,19 +225,28 @@
             return 'the configuration may be outdated'
         return None
 
+    def _agent_ips(self) -> set[str]:
+        services = self._directory.services()
+        return {
+            record.address.rpartition(':')[0]
+            for record in self._directory.all_targets()
+            if record.service in services
+            and services[record.service].engine is not None
+        }
+
     async def _subscribe(self) -> None:
         """Ask the agents for load reports, for ever."""
         message = messages.Subscribe(node=self._cfg.node)
         while True:
-            services = self._directory.services()
-            ips = {
-                record.address.rpartition(':')[0]
-                for record in self._directory.all_targets()
-                if record.service in services
-                and services[record.service].engine is not None
-            }
+            self._new_targets.clear()
+            ips = self._agent_ips()
+            self._subscribed = ips
             self._endpoint.send(message, ips, self._port)
-            await asyncio.sleep(SUBSCRIBE_PERIOD_S)
+            # An entry that just started hears of no group until then.
+            period_s = SUBSCRIBE_PERIOD_S if ips else FIRST_SUBSCRIBE_PERIOD_S
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period_s):
+                    await self._new_targets.wait()
 
     def _heard_load(self, message: messages.LoadReport, ip: str) -> None:
         # Agents that cannot hear some of the entries name too few.
@@ -263,6 +278,8 @@
             {item.incarnation for item in self._directory.all_targets()}
         )
         self._targets.targets_changed()
+        if self._agent_ips() - self._subscribed:
+            self._new_targets.set()
 
     def _cold_limit(self, service: model.Service) -> float:
         """Return this entry's part of what a cold target bears in 1 s."""
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import types
 
 import pytest
 
+from standins import deployed
 from wagtailhollow.internal.directory import follow, model, state
-from wagtailhollow.internal.entry.direct import patience, targets
+from wagtailhollow.internal.entry.direct import compose, patience, targets
 from wagtailhollow.internal.experts.live import pace
+from wagtailhollow.internal.platform import settings
 
 SERVICE = 's'
 SLOTS = 6
@@ -150,6 +153,47 @@
     assert entry.names() == {'i-0'}, 'the only one that may serve'
 
 
+def test_agents_of_new_targets_are_asked_at_once():
+    """Pattern: all processes start again and the groups form anew.
+
+    Guards against an entry that does not know for its first second which
+    groups serve, and uses up the attempts of its calls at those that do not.
+    """
+    row = deployed.host_settings('127.0.0.1:1', '127.0.0.1')
+    sent = []
+
+    async def go():
+        entry = compose.DirectEntry(settings.decode(row))
+        entry._endpoint.send = lambda message, ips, port: sent.append(set(ips))
+        task = asyncio.create_task(entry._subscribe())
+        await asyncio.sleep(0.05)
+        services = {SERVICE: model.Service(SERVICE, engine=ENGINE)}
+        manifest = model.Manifest(
+            1, 1, (), services, model.CallerLimits(), None
+        )
+        entry._directory.apply_manifest(
+            follow.Update({'main': manifest}, 1, True, False)
+        )
+        for number in (1, 2):
+            record = model.TargetRecord(
+                f'i-{number}',
+                1,
+                SERVICE,
+                f'10.0.0.{number}:80',
+                'dc-1',
+                SLOTS,
+                model.TargetState.READY,
+            )
+            entry._directory.apply_targets(
+                follow.Update({record.name: record}, 2, False, False)
+            )
+            await asyncio.sleep(0.15)
+        task.cancel()
+
+    asyncio.run(go())
+    assert sent[-1] == {'10.0.0.1', '10.0.0.2'}
+
+
 def test_target_that_never_reported_is_used():
     """Guards against an entry that serves nobody until agents are heard."""
     entry = Entry(2)
