--- a/proof/intent_order.py
+++ b/proof/intent_order.py
@@ -61,23 +61,17 @@
 
 def protocol(variant: Variant) -> minicheck.Protocol:
     """Return the specification of a variant."""
-    return minicheck.Protocol(
-        name='intent order',
-        candidate=False,
-        fields=('state',),
-        initial=(State(),),
-        transitions=lambda state: [
-            (label, (after,))
-            for label, after in _transitions(variant, state[0])
-            if after != state[0]
-        ],
-        invariants={PROPERTY: _one_map},
+    return verdicts.protocol(
+        'intent order',
+        State(),
+        lambda state: _transitions(variant, state),
+        PROPERTY,
+        _one_map,
     )
 
 
-def _one_map(state: dict) -> bool:
-    current = state['state'].current
-    return current is None or len(set(current)) == 1
+def _one_map(state: State) -> bool:
+    return state.current is None or len(set(state.current)) == 1
 
 
 def _transitions(
@@ -91,7 +85,7 @@
         for serial in range(state.published):
             if variant.use_serial and serial < state.taken[rank]:
                 continue
-            taken = _at(state.taken, rank, serial)
+            taken = verdicts.replaced(state.taken, rank, serial)
             yield f'deliver {serial} to {rank}', state.but(taken=taken)
         if state.armed[rank]:
             counted = state.counted | {rank}
@@ -107,11 +101,7 @@
     if state.taken[rank] == RELEASE:
         return state.but(is_held=state.is_held and rank != 0)
     is_armed = state.taken[rank] == ARM
-    return state.but(armed=_at(state.armed, rank, is_armed))
-
-
-def _at(values: tuple, rank: int, value: object) -> tuple:
-    return (*values[:rank], value, *values[rank + 1 :])
+    return state.but(armed=verdicts.replaced(state.armed, rank, is_armed))
 
 
 CHECKED = (Variant(),)
--- a/proof/key_withdrawal.py
+++ b/proof/key_withdrawal.py
@@ -72,17 +72,12 @@
 
 def protocol(variant: Variant) -> minicheck.Protocol:
     """Return the specification of a variant."""
-    return minicheck.Protocol(
-        name='key withdrawal',
-        candidate=False,
-        fields=('state',),
-        initial=(State(),),
-        transitions=lambda state: [
-            (label, (after,))
-            for label, after in _transitions(variant, state[0])
-            if after != state[0]
-        ],
-        invariants={PROPERTY: lambda state: not state['state'].is_wrong},
+    return verdicts.protocol(
+        'key withdrawal',
+        State(),
+        lambda state: _transitions(variant, state),
+        PROPERTY,
+        lambda state: not state.is_wrong,
     )
 
 
--- a/proof/live_switch.py
+++ b/proof/live_switch.py
@@ -105,29 +105,20 @@
         return self.but(sent=self.sent | {(name, rank, version)})
 
 
-def _at(values: tuple, rank: int, value: object) -> tuple:
-    return (*values[:rank], value, *values[rank + 1 :])
-
-
 def protocol(variant: Variant) -> minicheck.Protocol:
     """Return the specification of a variant."""
     first = HOLDING if variant.use_hold else ARMING
-    return minicheck.Protocol(
-        name='live switch',
-        candidate=False,
-        fields=('state',),
-        initial=(State(first=first),),
-        transitions=lambda state: [
-            (label, (after,))
-            for label, after in _transitions(variant, state[0])
-            if after != state[0]
-        ],
-        invariants={'one map in each step': _one_map},
+    return verdicts.protocol(
+        'live switch',
+        State(first=first),
+        lambda state: _transitions(variant, state),
+        'one map in each step',
+        _one_map,
     )
 
 
-def _one_map(state: dict) -> bool:
-    return len(set(state['state'].current)) == 1
+def _one_map(state: State) -> bool:
+    return len(set(state.current)) == 1
 
 
 def _transitions(
@@ -155,15 +146,17 @@
 def _carry_out(state: State, name: str, rank: int, version: int) -> State:
     armed, prepared = state.armed[rank], state.prepared[rank]
     if name == 'hold' and not state.begun:
-        return state.but(held=_at(state.held, rank, True))
+        return state.but(held=verdicts.replaced(state.held, rank, True))
     if name == 'release':
-        return state.but(held=_at(state.held, rank, False))
+        return state.but(held=verdicts.replaced(state.held, rank, False))
     if name == 'arm' and not state.begun and prepared == version:
-        return state.but(armed=_at(state.armed, rank, version))
+        return state.but(armed=verdicts.replaced(state.armed, rank, version))
     if name == 'disarm' and armed == version:
-        return state.but(armed=_at(state.armed, rank, 0))
+        return state.but(armed=verdicts.replaced(state.armed, rank, 0))
     if name == 'prepare' and not armed and version > prepared:
-        return state.but(prepared=_at(state.prepared, rank, version))
+        return state.but(
+            prepared=verdicts.replaced(state.prepared, rank, version)
+        )
     return state
 
 
@@ -225,7 +218,7 @@
     if state.second == WAITING:
         after = state.but(
             second=READING,
-            promised=_at(state.promised, 1, 2),
+            promised=verdicts.replaced(state.promised, 1, 2),
             second_reach=frozenset({1}),
         )
         yield 'take over', after
@@ -233,12 +226,12 @@
         return
     if 0 not in state.second_reach:
         reach = frozenset(RANKS)
-        promised = _at(state.promised, 0, 2)
+        promised = verdicts.replaced(state.promised, 0, 2)
         yield 'claim 0', state.but(promised=promised, second_reach=reach)
         yield 'drive 0', state.but(second_reach=reach)
     for rank in state.second_reach:
         seen = (state.armed[rank], state.held[rank])
-        read = _at(state.second_read, rank, seen)
+        read = verdicts.replaced(state.second_read, rank, seen)
         yield f'read {rank}', state.but(second_read=read)
     if None not in state.second_read and len(state.second_reach) == 2:
         yield 'resolve', state.but(second=_decide(variant, state))
--- a/proof/single_run.py
+++ b/proof/single_run.py
@@ -64,23 +64,17 @@
 
 def protocol(variant: Variant) -> minicheck.Protocol:
     """Return the specification of a variant."""
-    return minicheck.Protocol(
-        name='single run',
-        candidate=False,
-        fields=('state',),
-        initial=(State(),),
-        transitions=lambda state: [
-            (label, (after,))
-            for label, after in _transitions(variant, state[0])
-            if after != state[0]
-        ],
-        invariants={PROPERTY: _is_true},
+    return verdicts.protocol(
+        'single run',
+        State(),
+        lambda state: _transitions(variant, state),
+        PROPERTY,
+        _is_true,
     )
 
 
-def _is_true(state: dict) -> bool:
-    runs = state['state'].calls.count(RAN)
-    return runs <= (0 if state['state'].answer == NOT_RUN else 1)
+def _is_true(state: State) -> bool:
+    return state.calls.count(RAN) <= (0 if state.answer == NOT_RUN else 1)
 
 
 def _transitions(
@@ -89,7 +83,7 @@
     for target in TARGETS:
         if state.calls[target] == ON_THE_WAY:
             for fate, name in ((RAN, 'runs'), (REJECTED, 'rejects')):
-                calls = _at(state.calls, target, fate)
+                calls = verdicts.replaced(state.calls, target, fate)
                 yield f'{target} {name}', state.but(calls=calls)
     if state.answer is None:
         yield from _entry(variant, state)
@@ -102,10 +96,10 @@
         may_send = may_send and variant.retry_lost
     for target in TARGETS:
         if state.known[target] == UNTRIED and may_send:
-            known = _at(state.known, target, SENT)
-            calls = _at(state.calls, target, ON_THE_WAY)
+            known = verdicts.replaced(state.known, target, SENT)
+            calls = verdicts.replaced(state.calls, target, ON_THE_WAY)
             yield f'send to {target}', state.but(known=known, calls=calls)
-            known = _at(state.known, target, NOT_CONNECTED)
+            known = verdicts.replaced(state.known, target, NOT_CONNECTED)
             yield f'no connection to {target}', state.but(known=known)
         if state.known[target] == SENT:
             yield from _hear(variant, state, target)
@@ -125,21 +119,17 @@
 ) -> Iterator[tuple[str, State]]:
     fate = state.calls[target]
     if fate == RAN:
-        known = _at(state.known, target, ANSWERED)
+        known = verdicts.replaced(state.known, target, ANSWERED)
         yield f'answer of {target}', state.but(known=known)
     if fate == REJECTED:
-        known = _at(state.known, target, TURNED_AWAY)
+        known = verdicts.replaced(state.known, target, TURNED_AWAY)
         yield f'rejection of {target}', state.but(known=known)
     # The bytes may have been read all the same.
     reset = TURNED_AWAY if variant.reset_is_not_run else LOST
-    known = _at(state.known, target, reset)
+    known = verdicts.replaced(state.known, target, reset)
     yield f'{target} is silent or resets', state.but(known=known)
 
 
-def _at(values: tuple, index: int, value: object) -> tuple:
-    return (*values[:index], value, *values[index + 1 :])
-
-
 CHECKED = (Variant(),)
 NAIVE = (
     Variant(retry_lost=True),
--- a/proof/verdicts.py
+++ b/proof/verdicts.py
@@ -3,13 +3,46 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Sequence
-from typing import Any
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any, TypeVar
 
 import minicheck
 
 MAX_STATES = 3_000_000
 
+State = TypeVar('State')
+
+
+def protocol(
+    name: str,
+    initial: State,
+    transitions: Callable[[State], Iterable[tuple[str, State]]],
+    invariant: str,
+    holds: Callable[[State], bool],
+) -> minicheck.Protocol:
+    """Return a specification whose state is one frozen object.
+
+    :param transitions: returns the labelled states that may follow.
+    :param invariant: name of the promise that *holds* decides.
+    """
+    return minicheck.Protocol(
+        name=name,
+        candidate=False,
+        fields=('state',),
+        initial=(initial,),
+        transitions=lambda state: [
+            (label, (after,))
+            for label, after in transitions(state[0])
+            if after != state[0]
+        ],
+        invariants={invariant: lambda state: holds(state['state'])},
+    )
+
+
+def replaced(values: tuple, index: int, value: object) -> tuple:
+    """Return *values* with another value at *index*."""
+    return (*values[:index], value, *values[index + 1 :])
+
 
 def check(protocol: minicheck.Protocol, invariant: str) -> dict[str, Any]:
     """Return the verdict on one invariant of a specification."""
--- a/tests/cover/test_direct_targets.py
+++ b/tests/cover/test_direct_targets.py
@@ -2,44 +2,29 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 import types
 
 import pytest
 
+from tests.target_records import SERVICE, SLOTS, record
 from wagtailhollow import errors
 from wagtailhollow.internal.directory import follow, model, state
 from wagtailhollow.internal.entry import attempt
 from wagtailhollow.internal.entry.direct import targets
 from wagtailhollow.internal.routing import power_of_two
 
-SERVICE = 's'
-SLOTS = 6
 ROUTE = types.SimpleNamespace(gap_s=0.12)
 CALL = types.SimpleNamespace(service_name=SERVICE, is_late=False, route=ROUTE)
 
 
-def record(number):
-    return model.TargetRecord(
-        f'i-{number}',
-        1,
-        SERVICE,
-        f'10.0.0.{number}:80',
-        'dc-1',
-        SLOTS,
-        model.TargetState.READY,
-    )
-
-
 class Site:
     """Some entries that see the same targets on one clock."""
 
     def __init__(self, entries, count, cold_s=0.0):
         self.now = 100.0
         self.records = [
-            dataclasses.replace(record(number), cold_s=cold_s)
-            for number in range(count)
+            record(number, cold_s=cold_s) for number in range(count)
         ]
         directory = state.Directory(lambda: self.now)
         service = model.Service(SERVICE, cold_requests_per_s=36.0)
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -8,13 +8,12 @@
 import pytest
 
 from standins import deployed
+from tests.target_records import SERVICE, SLOTS, record
 from wagtailhollow.internal.directory import follow, model, state
 from wagtailhollow.internal.entry.direct import compose, patience, targets
 from wagtailhollow.internal.experts.live import pace
 from wagtailhollow.internal.platform import settings
 
-SERVICE = 's'
-SLOTS = 6
 GAP_S = 0.12
 ENGINE = model.EngineModel(
     slots=SLOTS,
@@ -49,31 +48,20 @@
     )
 
 
+def manifest_update():
+    services = {SERVICE: model.Service(SERVICE, engine=ENGINE)}
+    manifest = model.Manifest(1, 1, (), services, model.CallerLimits(), None)
+    return follow.Update({'main': manifest}, 1, True, False)
+
+
 class Entry:
     """One entry and some targets on a clock of the test."""
 
     def __init__(self, count):
         self.now = 100.0
         directory = state.Directory(lambda: self.now)
-        services = {SERVICE: model.Service(SERVICE, engine=ENGINE)}
-        manifest = model.Manifest(
-            1, 1, (), services, model.CallerLimits(), None
-        )
-        directory.apply_manifest(
-            follow.Update({'main': manifest}, 1, True, False)
-        )
-        records = {
-            f'i-{number}': model.TargetRecord(
-                f'i-{number}',
-                1,
-                SERVICE,
-                f'10.0.0.{number}:80',
-                'dc-1',
-                SLOTS,
-                model.TargetState.READY,
-            )
-            for number in range(count)
-        }
+        directory.apply_manifest(manifest_update())
+        records = {f'i-{n}': record(n) for n in range(count)}
         directory.apply_targets(follow.Update(records, 1, True, False))
         self.view = targets.DirectTargets(directory, clock=lambda: self.now)
 
@@ -177,25 +165,11 @@
         entry._endpoint.send = lambda message, ips, port: sent.append(set(ips))
         task = asyncio.create_task(entry._subscribe())
         await asyncio.sleep(0.05)
-        services = {SERVICE: model.Service(SERVICE, engine=ENGINE)}
-        manifest = model.Manifest(
-            1, 1, (), services, model.CallerLimits(), None
-        )
-        entry._directory.apply_manifest(
-            follow.Update({'main': manifest}, 1, True, False)
-        )
+        entry._directory.apply_manifest(manifest_update())
         for number in (1, 2):
-            record = model.TargetRecord(
-                f'i-{number}',
-                1,
-                SERVICE,
-                f'10.0.0.{number}:80',
-                'dc-1',
-                SLOTS,
-                model.TargetState.READY,
-            )
+            documents = {f'i-{number}': record(number)}
             entry._directory.apply_targets(
-                follow.Update({record.name: record}, 2, False, False)
+                follow.Update(documents, 2, False, False)
             )
             await asyncio.sleep(0.15)
         task.cancel()
