Test that maps change again after the coordinator's host was frozen

The simulated engine can now fall silent for all agents and carry out late what it was ordered meanwhile.

--- a/standins/live_group.py
+++ b/standins/live_group.py
@@ -27,6 +27,9 @@
 PASS_S = 0.05
 LATE_S = (2.0, 12.0)
 MESSAGE_S = (0.001, 0.01)
+SILENCE_S = 0.06
+"""Time after which an agent gives up on an engine that does not answer."""
+
 COPY_S = 0.15
 LAYERS = 2
 EXPERTS = 16
@@ -58,12 +61,31 @@
         self.highest = 0
         self.armed: model.Armed | None = None
         self.held_step: int | None = None
+        self._is_silent = False
+        self._waiting: list[Callable[[], bool]] = []
+
+    def silence(self) -> None:
+        """Answer nobody from now on, as on a frozen host."""
+        self._is_silent = True
+
+    def wake(self) -> None:
+        """Answer again, after carrying out the orders that came meanwhile."""
+        self._is_silent = False
+        waiting, self._waiting = self._waiting, []
+        for act in waiting:
+            act()
+
+    async def _answer(self) -> None:
+        await asyncio.sleep(0.002)
+        if self._is_silent:
+            await asyncio.sleep(SILENCE_S)
+            raise model.EngineSilent('no answer')
 
     async def report(self) -> model.RankReport:
         """See :class:`model.RankEngine`."""
-        await asyncio.sleep(0.002)
+        await self._answer()
         if self._group.rng.random() < self._group.faults.silent:
-            await asyncio.sleep(0.06)
+            await asyncio.sleep(SILENCE_S)
             raise model.EngineSilent('no answer')
         return model.RankReport(
             GROUP,
@@ -88,7 +110,7 @@
 
     async def maps(self) -> model.RankMaps:
         """See :class:`model.RankEngine`."""
-        await asyncio.sleep(0.002)
+        await self._answer()
         prepared = self.prepared[0] if self.prepared else None
         return model.RankMaps(1, self.map_version, self.experts, prepared)
 
@@ -120,10 +142,14 @@
     async def _order(self, act: Callable[[], bool]) -> model.OrderResult:
         rng, faults = self._group.rng, self._group.faults
         await asyncio.sleep(0.002)
+        if self._is_silent:
+            self._waiting.append(act)
+            await asyncio.sleep(SILENCE_S)
+            return model.OrderResult.UNKNOWN
         if rng.random() < faults.unanswered:
             delay_s = rng.uniform(*LATE_S)
             asyncio.get_running_loop().call_later(delay_s, act)
-            await asyncio.sleep(0.06)
+            await asyncio.sleep(SILENCE_S)
             return model.OrderResult.UNKNOWN
         done = act()
         return model.OrderResult.DONE if done else model.OrderResult.CONFLICT
--- a/tests/cover/test_live_switch.py
+++ b/tests/cover/test_live_switch.py
@@ -114,6 +114,35 @@
     assert group.longest_stop_s < STOP_BOUND_S
 
 
+@pytest.mark.parametrize('freeze_s', [3.0, 3.1, 3.2, 3.48, 3.5])
+def test_maps_change_again_after_the_host_of_the_coordinator_was_frozen(
+    freeze_s,
+):
+    """Guards against a group that keeps its map after such a freeze.
+
+    The group prepares, was released, is idle, arms and is held. The engine
+    answers nobody meanwhile and then carries out what it was ordered.
+    """
+    versions = []
+
+    async def frozen_host(group):
+        agent, engine = group.agents[0], group.engines[0]
+        await asyncio.sleep(freeze_s)
+        agent.is_frozen = True
+        engine.silence()
+        await asyncio.sleep(4.0)
+        agent.is_frozen = False
+        engine.wake()
+        versions.append(len(group.versions))
+        await asyncio.sleep(2.0)
+        versions.append(len(group.versions))
+
+    group = play(1, frozen_host, freeze_s + 7.0)
+    assert not group.mixed
+    before, after = versions
+    assert after >= before + 2, 'a change takes less than a second'
+
+
 def status(number, **fields):
     return messages.RankStatus(
         rank=number, group='g', size=4, is_open=True, epoch=1, **fields
