--- a/tests/cover/test_map_switch_rounds.py
+++ b/tests/cover/test_map_switch_rounds.py
@@ -6,7 +6,7 @@
 import random
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from wagtailhollow import errors
@@ -41,8 +41,45 @@
         self.staged = (*self.staged, epoch)
 
 
+class BusyEngine(Engine):
+    """An engine that carries out orders after a while, in any order.
+
+    A caller that leaves does not take its order back.
+    """
+
+    def __init__(self, rng: random.Random, check) -> None:
+        super().__init__()
+        self._rng = rng
+        self._check = check
+
+    async def hold(self, fencing):
+        return await self._later(super().hold, fencing)
+
+    async def activate(self, epoch, fencing):
+        return await self._later(super().activate, epoch, fencing)
+
+    async def release(self, epoch, fencing):
+        return await self._later(super().release, epoch, fencing)
+
+    async def _later(self, order, *args):
+        async def carry_out():
+            for _ in range(self._rng.randrange(40)):
+                await asyncio.sleep(0)
+            state = await order(*args)
+            self._check()
+            return state
+
+        return await asyncio.shield(asyncio.create_task(carry_out()))
+
+
 class Group:
-    """Ranks in memory; messages are lost, late or delivered twice."""
+    """Ranks in memory; messages are lost, late or delivered twice.
+
+    :ivar given_up_share: share of orders whose round stops waiting for them
+        while they are carried out.
+    """
+
+    given_up_share = 0.0
 
     def __init__(self, ranks: int, seed: int, fault_share: float) -> None:
         self.ranks = range(ranks)
@@ -53,15 +90,15 @@
         self._late: set[asyncio.Task] = set()
         self.mixed = 0
         for index in self.ranks:
-            self.agents.append(self._agent(index, 1))
+            self.agents.append(self.agent(index, 1))
 
-    def _agent(self, index: int, incarnation: int) -> rank.RankBallots:
+    def agent(self, index: int, incarnation: int) -> rank.RankBallots:
         return rank.RankBallots('g', index, incarnation, self.engines[index])
 
     def restart(self, index: int) -> None:
         """Replace an agent by one of the next incarnation."""
         incarnation = self.agents[index].incarnation + 1
-        self.agents[index] = self._agent(index, incarnation)
+        self.agents[index] = self.agent(index, incarnation)
 
     async def ask(self, index, message, timeout_s):
         draw = self._rng.random()
@@ -75,8 +112,18 @@
             self._deliver_later(index, message)
         if draw > 1 - self._fault_share / 2:
             self.restart(index)
+        if self._rng.random() < self.given_up_share:
+            await self._give_up(index, message)
+            return None
         return await self._deliver(index, message)
 
+    async def _give_up(self, index, message) -> None:
+        task = asyncio.create_task(self._deliver(index, message))
+        for _ in range(self._rng.randrange(1, 30)):
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
     def _deliver_later(self, index, message) -> None:
         async def later():
             for _ in range(self._rng.randrange(60)):
@@ -157,6 +204,32 @@
     asyncio.run(scenario())
 
 
+@settings(max_examples=100, deadline=None)
+@given(seed=st.integers(0, 2**32), ranks=st.integers(2, 4))
+# Mixed two maps while an order was cancelled with the round that gave it.
+@example(seed=438, ranks=2)
+def test_orders_that_a_round_gave_up_mix_no_maps(seed, ranks):
+    # Guards against an order that its agent cancels while the engine is about
+    # to carry it out, and against the next round learning too early.
+    async def scenario():
+        group = Group(ranks, seed, 0.0)
+        group.given_up_share = 0.3
+        rng = random.Random(seed)
+        group.engines = [BusyEngine(rng, group.check) for _ in group.ranks]
+        group.agents = [group.agent(index, 1) for index in group.ranks]
+        await asyncio.gather(
+            propose(group, 'leader', 5, 2), propose(group, 'other', 0, 0)
+        )
+        group.given_up_share = 0.0
+        for _ in range(200):
+            await asyncio.sleep(0)
+        assert await propose(group, 'resolver', 0, 0)
+        assert group.mixed == 0
+        assert len({item.epoch for item in group.engines}) == 1
+
+    asyncio.run(scenario())
+
+
 def hold(fencing=1, attempt=1, epoch=0):
     ballot = ttypes.Ballot(fencing, attempt, 'leader')
     return ttypes.HoldRank('g', ballot, epoch)
