Abort with a complete map only; leave a stream's frozen target before its head

After the freeze another rank undoes the switch and orders all ranks to keep their map. It sent no status any more, so its group got no new map, and its target looked frozen. Now an abort waits for the experts of all ranks, and an agent refuses a map that it cannot read, logs it and stays heard. Ruled out before: the choice of the coordinator (simulation); it could not show this, as its agents sent experts in each status. They do as the real ones now.

A stream sent to a host that froze just then waited for the head until its caller left after 2 s, and the engine found the request when it woke. A resumable stream now leaves a target from which nothing came for 1.2 s and whose reports ended too. A slow target that reports keeps its streams.

Tests, each failed first: test_live_switch (a map that cannot be read; an abort without all experts), test_direct_entry (time-out at 2 s before).

--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -33,6 +33,10 @@
 """Silence after which a stream is resumed elsewhere. The caller gives up
 after 2 s; a pass of a group takes up to about 0.3 s."""
 
+SILENCE_CHECK_S = 0.1
+"""Period in which a target that keeps a stream waiting is looked at again; its
+agent reports at least as often."""
+
 _DROPPED = frozenset(
     {
         b'connection',
@@ -177,7 +181,7 @@
         """Send the request and pass the answer on."""
         try:
             self.is_sent = True
-            head = await conn.send(self._request())
+            head = await self._head(conn, view)
             self.head_s = time.monotonic()
             view.note_load(self.record, head.get(headers.LOAD))
             self._refused(head, view)
@@ -191,6 +195,28 @@
                 _fail(Phase.REFUSED, errors.ErrorKind.NO_TARGET, str(exc))
             self.fail(errors.ErrorKind.ANSWER_INCOMPLETE, str(exc))
 
+    async def _head(
+        self, conn: connection.HttpConnection, view: targets.DirectTargets
+    ) -> connection.Head:
+        """Send the request and return the head of the answer.
+
+        The host of a target whose reports ended too may be frozen; a stream
+        that can resume does not wait until its caller leaves.
+        """
+        sending = asyncio.ensure_future(conn.send(self._request()))
+        try:
+            if self.call.is_stream and self.call.route.is_resumable:
+                await asyncio.wait({sending}, timeout=STREAM_SILENCE_S)
+                while not sending.done() and not view.is_silent(self.record):
+                    await asyncio.wait({sending}, timeout=SILENCE_CHECK_S)
+                if not sending.done():
+                    raise connection.AnswerLost('silent with its agent')
+            return await sending
+        finally:
+            if not sending.done():
+                sending.cancel()
+                await asyncio.gather(sending, return_exceptions=True)
+
     def fail(self, kind: errors.ErrorKind, message: str) -> NoReturn:
         """Raise AttemptFailed with the phase that was reached."""
         can_go_on = not self._sink.is_started or (
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -115,7 +115,7 @@
             record
             for record in usable
             if self._avoid_until_s.get(record.name, 0.0) <= now_s
-            and not self._is_silent(record)
+            and not self.is_silent(record)
         ]
         return [self._candidate(call, record) for record in healthy or usable]
 
@@ -293,7 +293,7 @@
             and report.pass_s >= STANDING_S
         }
 
-    def _is_silent(self, record: model.TargetRecord) -> bool:
+    def is_silent(self, record: model.TargetRecord) -> bool:
         """Return whether the reports of a target have ended.
 
         Its agent may have died, which harms no call, or its host is frozen,
--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -484,6 +484,10 @@
                 # Without every rank nothing can be released safely.
                 await self._until(_has_any, RESOLVE_TIMEOUT_S)
                 continue
+            if not all(map(_tells_experts, statuses.values())):
+                # Ranks tell a new coordinator a little later what they hold.
+                await self._until(_tells_experts, RESOLVE_TIMEOUT_S)
+                continue
             version = self._new_version(statuses)
             current = [statuses[n].experts for n in sorted(statuses)]
             self._want(
@@ -671,6 +675,10 @@
     return True
 
 
+def _tells_experts(status: Status) -> bool:
+    return bool(status.experts)
+
+
 def _is_finished(status: Status) -> bool:
     return not _is_unfinished(status)
 
--- a/src/wagtailhollow/internal/experts/live/rank.py
+++ b/src/wagtailhollow/internal/experts/live/rank.py
@@ -123,9 +123,14 @@
             or self._ordered_version == version
         ):
             return False
-        result = await self._engine.prepare(
-            report.epoch, version, packing.unpack_map(intent.experts)
-        )
+        try:
+            experts = packing.unpack_map(intent.experts)
+        except ValueError as exc:
+            # The coordinator has to send another map; the rank stays heard.
+            decisions.log('map_unreadable', version=version, reason=str(exc))
+            self.refused_version = version
+            return False
+        result = await self._engine.prepare(report.epoch, version, experts)
         if result is model.OrderResult.CONFLICT:
             # An earlier order of the same version may have had no answer.
             maps = await self._engine.maps()
--- a/standins/live_group.py
+++ b/standins/live_group.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections
+import copy
 import dataclasses
 import random
 from collections.abc import Callable, Collection, Sequence
@@ -27,6 +28,7 @@
 PASS_S = 0.05
 LATE_S = (2.0, 12.0)
 MESSAGE_S = (0.001, 0.01)
+DETAIL_S = 0.2
 SILENCE_S = 0.06
 """Time after which an agent gives up on an engine that does not answer."""
 
@@ -39,10 +41,14 @@
 
 @dataclasses.dataclass
 class Faults:
-    """Shares of orders, messages and reports that go wrong."""
+    """Shares of orders, messages and reports that go wrong.
+
+    :ivar lost_details: of the messages with experts and demand.
+    """
 
     unanswered: float = 0.0
     lost: float = 0.0
+    lost_details: float = 0.0
     silent: float = 0.0
 
 
@@ -233,11 +239,14 @@
         self._group = group
         self.number = number
         self.is_frozen = False
+        self._detailed: tuple[int, int, int] | None = None
+        self._detailed_until_s = 0.0
         self._tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Start with an empty memory."""
         loop = asyncio.get_running_loop()
+        self._detailed = None
         self.driver = rank.RankDriver(
             _Gate(self, self._group.engines[self.number])
         )
@@ -300,13 +309,27 @@
             await asyncio.sleep(0.02)
 
     def _send(self) -> None:
-        status = self.driver.status()
-        status.address = str(self.number)
-        status.demand = packing.pack_counts([1] * (LAYERS * EXPERTS))
-        self.view.take(status)
+        """Send the status; experts and demand go to the coordinator only."""
+        now_s = asyncio.get_running_loop().time()
+        full = self.driver.status()
+        full.address = str(self.number)
+        brief = copy.copy(full)
+        brief.experts = b''
+        full.demand = packing.pack_counts([1] * (LAYERS * EXPERTS))
+        leader = self.view.leader(full)
+        key = (full.epoch, full.map_version, leader)
+        is_due = key != self._detailed or now_s >= self._detailed_until_s
+        if is_due:
+            self._detailed = key
+            self._detailed_until_s = now_s + DETAIL_S
+            is_due = (
+                self._group.rng.random() >= self._group.faults.lost_details
+            )
+        self.view.take(full)
         for agent in self._group.agents:
             if agent is not self:
-                self._group.deliver(self, agent, status)
+                is_full = is_due and agent.number == leader
+                self._group.deliver(self, agent, full if is_full else brief)
 
 
 class _Gate:
--- a/tests/cover/test_direct_entry.py
+++ b/tests/cover/test_direct_entry.py
@@ -9,6 +9,9 @@
 
 from standins import deployed
 
+CALLER_PATIENCE_S = 2.0
+"""Silence after which callers on the users' platform leave a stream."""
+
 
 def play(scenario):
     """Run *scenario* against a new small deployment."""
@@ -65,6 +68,34 @@
     play(scenario)
 
 
+def test_stream_goes_on_elsewhere_when_its_target_froze_before_the_head():
+    """Guards against work for callers who left, once the host wakes up.
+
+    Pattern: a host freezes just after it got calls. Its agent falls silent
+    with it, and callers leave after 2 s without an event.
+    """
+
+    async def scenario(site):
+        frozen, other = site.of(deployed.SERVICE)
+        frozen.behaviours = ['hang']
+        for engine in (frozen, other):
+            # The only report that will come; silence follows.
+            site.entry._targets.take_report(engine.name, 0, 0, True, 'g')
+        loop = asyncio.get_running_loop()
+        number = 0
+        while not frozen.seen:
+            number += 1
+            began_s = loop.time()
+            async with asyncio.timeout(CALLER_PATIENCE_S):
+                async with site.call('stream', f'r{number}') as resp:
+                    assert await resp.read() == deployed.STREAM
+        assert loop.time() - began_s < CALLER_PATIENCE_S
+        await asyncio.sleep(0.1)
+        assert frozen.seen[0].ended, 'the work for the call ends'
+
+    play(scenario)
+
+
 def test_stream_that_ends_inside_an_event_is_not_whole():
     """Guards against a stream that looks complete before its last event."""
 
--- a/tests/cover/test_live_switch.py
+++ b/tests/cover/test_live_switch.py
@@ -114,12 +114,18 @@
     assert group.longest_stop_s < STOP_BOUND_S
 
 
-@pytest.mark.parametrize('freeze_s', [3.0, 3.1, 3.2, 3.48, 3.5])
+@pytest.mark.parametrize(
+    ('freeze_s', 'lost_details'),
+    [(3.0, 0), (3.1, 0), (3.2, 0), (3.48, 0), (3.5, 0), (3.48, 0.7)],
+)
 def test_maps_change_again_after_the_host_of_the_coordinator_was_frozen(
-    freeze_s,
+    freeze_s, lost_details
 ):
     """Guards against a group that keeps its map after such a freeze.
 
+    The next coordinator may hear that a rank is armed before it hears which
+    experts the rank has; without them it cannot say which map to keep.
+
     The group prepares, was released, is idle, arms and is held. The engine
     answers nobody meanwhile and then carries out what it was ordered.
     """
@@ -128,16 +134,19 @@
     async def frozen_host(group):
         agent, engine = group.agents[0], group.engines[0]
         await asyncio.sleep(freeze_s)
+        group.faults.lost_details = lost_details
         agent.is_frozen = True
         engine.silence()
         await asyncio.sleep(4.0)
         agent.is_frozen = False
         engine.wake()
+        await asyncio.sleep(0.6)
+        group.faults.lost_details = 0
         versions.append(len(group.versions))
         await asyncio.sleep(2.0)
         versions.append(len(group.versions))
 
-    group = play(1, frozen_host, freeze_s + 7.0)
+    group = play(1, frozen_host, freeze_s + 7.6)
     assert not group.mixed
     before, after = versions
     assert after >= before + 2, 'a change takes less than a second'
@@ -314,6 +323,58 @@
     assert engine.orders == [('arm', 7, 14), ('arm', 7, 14)]
 
 
+def test_map_that_cannot_be_read_does_not_silence_the_agent():
+    """Guards against a rank that reports nothing while such an intent stands.
+
+    Its group gets no new map, and its target looks frozen.
+    """
+    engine = ScriptedEngine(report(), [])
+    driver = rank.RankDriver(engine)
+    incomplete = packing.join_ranks([b'', packing.pack_rank([[0], [1], [2]])])
+    driver.take(
+        intent(term=1, phase=model.Phase.ABORT, version=7, experts=incomplete)
+    )
+    asyncio.run(driver.tick())
+    assert driver.status().refused_version == 7
+    assert engine.orders == []
+
+
+def test_abort_waits_for_the_experts_of_all_ranks():
+    """Guards against an incomplete map after a change of the coordinator.
+
+    A status tells experts only now and then, and only to the coordinator.
+    """
+    lead = coordinator.Coordinator(None, None, None, None, None, None)
+    rows = {
+        number: status(number, experts=packing.pack_rank([[number]]))
+        for number in range(4)
+    }
+    rows[2].experts = b''
+    wanted = []
+
+    async def until(reached, timeout_s, give_up=None):
+        if not reached(rows[2]):
+            rows[2].experts = packing.pack_rank([[2]])
+        return True
+
+    async def hold(step):
+        return True
+
+    lead._own_status = lambda: rows[0]
+    lead._statuses = lambda: rows
+    lead._until = until
+    lead._hold = hold
+    lead._want = lambda phase, **fields: wanted.append(fields)
+    asyncio.run(lead._abort(9))
+    (fields,) = wanted
+    assert packing.unpack_map(fields['experts']) == [
+        [[0]],
+        [[1]],
+        [[2]],
+        [[3]],
+    ]
+
+
 def test_lower_term_is_not_obeyed():
     """Guards against a coordinator that wakes up after it was replaced."""
     engine = ScriptedEngine(report(prepared=7), [])
