Tell no experts of another map in a status

Cause: a switch that falls between an order and the report after it; the status named the new version with the experts of the old map, and the next coordinator took them to undo a switch. A status now tells no experts until those of its map were read.

--- a/src/wagtailhollow/internal/experts/live/rank.py
+++ b/src/wagtailhollow/internal/experts/live/rank.py
@@ -100,11 +100,11 @@
             held_step=none if report.held_step is None else report.held_step,
             ordered_version=self._ordered_version,
             refused_version=self.refused_version,
-            experts=self._experts,
+            experts=self._experts if self._experts_of == _map(report) else b'',
         )
 
     async def _read_experts(self, report: model.RankReport) -> None:
-        key = (report.born_ms, report.epoch, report.map_version)
+        key = _map(report)
         if self._experts_of == key:
             return
         maps = await self._engine.maps()
@@ -202,6 +202,10 @@
         )
 
 
+def _map(report: model.RankReport) -> tuple[int, int, int]:
+    return report.born_ms, report.epoch, report.map_version
+
+
 def _order(intent: messages.Intent) -> tuple[int, int]:
     return intent.term, intent.serial
 
--- a/tests/cover/test_live_switch.py
+++ b/tests/cover/test_live_switch.py
@@ -375,6 +375,30 @@
     ]
 
 
+def test_status_tells_no_experts_of_another_map():
+    """Guards against a map that lacks an expert after a switch was undone.
+
+    The switch to the armed map falls between an order and the report after it.
+    """
+
+    class Switching(ScriptedEngine):
+        async def arm(self, epoch, version, step):
+            self.now = report(map_version=7)
+            return model.OrderResult.DONE
+
+        async def maps(self):
+            version = self.now.map_version
+            return model.RankMaps(1, version, [[version]], None)
+
+    driver = rank.RankDriver(Switching(report(prepared=7), []))
+    driver.take(intent(term=1, phase=model.Phase.ARM, version=7, step=14))
+    asyncio.run(driver.tick())
+    status = driver.status()
+    assert (status.map_version, status.experts) == (7, b'')
+    asyncio.run(driver.tick())
+    assert driver.status().experts == packing.pack_rank([[7]])
+
+
 def test_lower_term_is_not_obeyed():
     """Guards against a coordinator that wakes up after it was replaced."""
     engine = ScriptedEngine(report(prepared=7), [])
