--- a/tests/cover/test_engine_client.py
+++ b/tests/cover/test_engine_client.py
@@ -11,7 +11,6 @@
 from wagtailhollow.internal.experts.live import model
 from wagtailhollow.internal.platform import engine
 
-
 TIMEOUT_S = 0.6
 """Orders are given up after half of it, before the stand-in answers late.
 
