Divide cold targets' limits exactly, and bound statuses and load reports

Cold targets. Now agents list the entries that subscribe to them; all entries rank the list for a target in the same way and the whole parts of the ranks add up to 0.8 of the limit. Without a list an entry sends nothing to cold targets and no retries beyond the ratio. Positions in a sorted list were ruled out: one more entry shifts them all, and entries with lists of different age exceed the limit together; ranks by hash move by one.

Each agent sent its status to the whole group, 380 datagrams a second to and from each of 96 agents. Now the coordinator names standby ranks, of each data centre in turn, which get all statuses and take over if it is lost; the others say who they are to everybody while there is no coordinator. Simulated losses of the coordinator, its data centre, and it with all standby ranks.

Load reports. An entry scanned all targets and all counts for each of 1,280 datagrams a second at the large size: now one look-up.

--- a/deploy/hosts.thrift
+++ b/deploy/hosts.thrift
@@ -1,6 +1,7 @@
 // Messages between hosts on the users' platform, sent as datagrams: one byte
 // with the number of the type (0 RankStatus, 1 Intent, 2 LoadReport,
-// 3 Subscribe, 4 ExpertDemand), then the struct in the compact protocol.
+// 3 Subscribe, 4 ExpertDemand, 5 EntryList,
+// 6 Roster), then the struct in the compact protocol.
 // internal/datagram/messages.py has the same structs and explains the fields.
 
 struct RankStatus {
@@ -59,8 +60,24 @@
   7: i64 memory_used,
   8: string group,
   9: i32 pass_ms,
+  10: i32 period_ms,
 }
 
 struct Subscribe {
   1: string node,
+  2: bool wants_entries,
+}
+
+struct EntryList {
+  1: binary ips,
+}
+
+struct Roster {
+  1: i64 term,
+  2: string group,
+  3: i64 epoch,
+  4: binary standby_ranks,
+  5: binary standby_ips,
+  6: binary collector_ranks,
+  7: binary collector_ips,
 }
--- a/src/wagtailhollow/internal/datagram/endpoint.py
+++ b/src/wagtailhollow/internal/datagram/endpoint.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -21,6 +22,7 @@
 """The map of 256 ranks with 48 experts each takes up to 25 KB."""
 
 Handler = Callable[[Any, str], None]
+_IP_BYTES = 4
 
 
 class Endpoint(asyncio.DatagramProtocol):
@@ -98,3 +100,16 @@
 
     def error_received(self, exc: Exception) -> None:
         """Ignore: an unreachable peer is detected by its missing messages."""
+
+
+def pack_ips(ips: Iterable[str]) -> bytes:
+    """Encode IPv4 addresses, four bytes each."""
+    return b''.join(map(socket.inet_aton, ips))
+
+
+def unpack_ips(data: bytes) -> list[str]:
+    """Decode IPv4 addresses; an incomplete one at the end is dropped."""
+    return [
+        socket.inet_ntoa(data[start : start + _IP_BYTES])
+        for start in range(0, len(data) - _IP_BYTES + 1, _IP_BYTES)
+    ]
--- a/src/wagtailhollow/internal/datagram/messages.py
+++ b/src/wagtailhollow/internal/datagram/messages.py
@@ -153,6 +153,7 @@
     ('memory_used', TType.I64, 0),
     ('group', TType.STRING, ''),
     ('pass_ms', TType.I32, 0),
+    ('period_ms', TType.I32, 0),
 )
 class LoadReport(TBase.TBase):
     """Load of one target, sent by its agent to the entries.
@@ -160,12 +161,58 @@
     :ivar entries: number of entries with a recent subscription.
     :ivar group: group that the target is a rank of, or empty.
     :ivar pass_ms: recent mean duration of a pass, 0 if unknown.
+    :ivar period_ms: period of these reports.
     """
 
 
-@_thrift_struct(('node', TType.STRING, ''))
+@_thrift_struct(
+    ('term', TType.I64, 0),
+    ('group', TType.STRING, ''),
+    ('epoch', TType.I64, 0),
+    ('standby_ranks', TType.STRING, b''),
+    ('standby_ips', TType.STRING, b''),
+    ('collector_ranks', TType.STRING, b''),
+    ('collector_ips', TType.STRING, b''),
+)
+class Roster(TBase.TBase):
+    """Duties that the coordinator gives to ranks of its group.
+
+    Ranks are encoded by :func:`..experts.live.packing.pack_numbers`, addresses
+    as four bytes each, in the same order.
+
+    :ivar standby_ranks: ranks that get all statuses and take over if the
+        coordinator is lost.
+    :ivar collector_ranks: ranks that add up the demand of a part of the group.
+    """
+
+
+@_thrift_struct(
+    ('node', TType.STRING, ''),
+    ('wants_entries', TType.BOOL, False),
+)
 class Subscribe(TBase.TBase):
-    """Request of an entry for load reports of an agent."""
+    """Request of an entry for load reports of an agent.
+
+    :ivar wants_entries: whether to answer with an :class:`EntryList`.
+    """
+
 
+@_thrift_struct(('ips', TType.STRING, b''))
+class EntryList(TBase.TBase):
+    """Entries with a recent subscription, sent by an agent to one of them.
 
-MESSAGE_TYPES = (RankStatus, Intent, LoadReport, Subscribe, ExpertDemand)
+    An agent that has not listened for long enough sends none.
+
+    :ivar ips: IPv4 addresses of the entries, four bytes each.
+    """
+
+
+MESSAGE_TYPES = (
+    RankStatus,
+    Intent,
+    LoadReport,
+    Subscribe,
+    ExpertDemand,
+    EntryList,
+    Roster,
+)
--- a/src/wagtailhollow/internal/directory/state.py
+++ b/src/wagtailhollow/internal/directory/state.py
@@ -108,6 +108,10 @@
         """Return all targets: also leaving, withdrawn and lapsed ones."""
         return list(self._targets.values())
 
+    def target_at(self, address: str) -> model.TargetRecord | None:
+        """Return the target that was registered last at an address."""
+        return self._targets.get(self._name_by_address.get(address, ''))
+
     def ready(self, name: str) -> model.TargetRecord | None:
         """Return the target *name* if it accepts new calls."""
         found = self._targets.get(name)
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
-import time
+import random
 
 from starlette import routing
 
@@ -20,7 +20,7 @@
 from ...retries import budget
 from ...routing import power_of_two
 from .. import calls, http_protocol
-from . import app, attempts, freshness, routed_call, targets
+from . import app, attempts, freshness, routed_call, shares, targets
 
 _POLICIES = (power_of_two,)
 
@@ -45,16 +45,12 @@
 """Period of the subscription messages; agents drop an entry after 3 s without
 one."""
 
-INITIAL_SUBSCRIBE_PERIOD_S = 0.1
-"""Subscription period until targets and services were read from the store."""
+INITIAL_SUBSCRIBE_PERIOD_S = 0.25
+"""Subscription period until an agent has listed the entries. Without the list
+an entry sends no calls to cold targets."""
 
-COLD_SHARE = 0.8
-"""Share of a cold target's request limit that is used; see BUDGET_SHARE."""
-
-ENTRY_COUNT_WINDOW_S = 10.0
-"""How long a reported number of entries counts: the default window of the
-retry budget (``retry_window_s``), in which an entry that has stopped may have
-spent its share."""
+ASKED_AGENTS = 4
+"""Number of agents that are asked for their list of entries each time."""
 
 MAX_CONNECTIONS = 900
 """Limit on caller connections. Up to http_protocol.MAX_EXCESS_CONNECTIONS more
@@ -81,14 +77,6 @@
 """Number of rejections by targets after which a call is refused; each attempt
 after a rejection spends from the retry budget."""
 
-DEFAULT_ENTRY_COUNT = 16
-"""Number of entries that is assumed to share a budget until agents report it;
-more than current deployments have."""
-
-BUDGET_SHARE = 0.8
-"""Share of the retry budget that is used: entries may be told different
-numbers of entries, and a restarted entry has no record of its retries."""
-
 
 class DirectEntry:
     """The entry daemon: creates its components and runs them."""
@@ -131,6 +119,9 @@
         )
         self._connections = pool.ConnectionPool()
         self._directory.target_listeners.append(self._targets_changed)
+        self._shares = shares.EntryShares(
+            cfg.ip, lambda: bool(self._agent_ips())
+        )
         self._targets = targets.DirectTargets(
             self._directory, self._cold_limit
         )
@@ -170,11 +161,10 @@
         )
         self._targets_added = asyncio.Event()
         self._subscribed_ips: set[str] = set()
-        self._max_entry_count = 0
-        self._reported_entry_counts: dict[str, tuple[float, int]] = {}
         self._port = cfg.internal_ports[0]
         self._endpoint = endpoint.Endpoint(messages.MESSAGE_TYPES)
         self._endpoint.add_handler(messages.LoadReport, self._on_load_report)
+        self._endpoint.add_handler(messages.EntryList, self._on_entry_list)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -246,41 +236,43 @@
     async def _subscribe(self) -> None:
         """Subscribe to the agents' load reports until cancelled."""
         message = messages.Subscribe(node=self._cfg.node)
+        asking = messages.Subscribe(node=self._cfg.node, wants_entries=True)
         while True:
             self._targets_added.clear()
             ips = self._agent_ips()
             self._subscribed_ips = ips
-            self._endpoint.send(message, ips, self._port)
+            asked = frozenset(
+                random.sample(sorted(ips), min(ASKED_AGENTS, len(ips)))
+            )
+            self._endpoint.send(message, ips - asked, self._port)
+            self._endpoint.send(asking, asked, self._port)
             # Without known agents the message went to nobody. An entry gets
             # load reports only after its first subscription, so it tries again
             # sooner.
             period_s = (
-                SUBSCRIBE_PERIOD_S if ips else INITIAL_SUBSCRIBE_PERIOD_S
+                SUBSCRIBE_PERIOD_S
+                if self._shares.fraction()
+                else INITIAL_SUBSCRIBE_PERIOD_S
             )
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(period_s):
                     await self._targets_added.wait()
 
+    def _on_entry_list(self, message: messages.EntryList, ip: str) -> None:
+        self._shares.record_list(ip, endpoint.unpack_ips(message.ips))
+
     def _on_load_report(self, message: messages.LoadReport, ip: str) -> None:
-        # Agents that some entries cannot reach report too few entries, so the
-        # maximum counts.
-        self._reported_entry_counts[ip] = (time.monotonic(), message.entries)
-        window_start_s = time.monotonic() - ENTRY_COUNT_WINDOW_S
-        self._max_entry_count = max(
-            count
-            for received_s, count in self._reported_entry_counts.values()
-            if received_s >= window_start_s
-        )
-        for record in self._directory.all_targets():
-            if record.address == message.target:
-                self._targets.record_report(
-                    record.name,
-                    message.running,
-                    message.waiting,
-                    message.is_open,
-                    message.group,
-                    message.pass_ms / 1000,
-                )
+        record = self._directory.target_at(message.target)
+        if record is not None:
+            self._targets.record_report(
+                record.name,
+                message.running,
+                message.waiting,
+                message.is_open,
+                message.group,
+                message.pass_ms / 1000,
+                message.period_ms / 1000,
+            )
 
     def _check_key_freshness(self, call: routed_call.RoutedCall) -> None:
         """Raise Refusal if the call's key may have been withdrawn."""
@@ -295,23 +287,21 @@
         if self._agent_ips() - self._subscribed_ips:
             self._targets_added.set()
 
-    def _cold_limit(self, service: model.Service) -> float:
-        """Return this entry's share of a cold target's requests per second."""
+    def _cold_limit(
+        self, service: model.Service, record: model.TargetRecord
+    ) -> int:
+        """Return this entry's part of a cold target's calls per second."""
         bounds = self._cfg.bounds
         allowed = (
             service.cold_requests_per_s * bounds.cold_factor
             + bounds.cold_slack
         )
-        return allowed * COLD_SHARE / self._entry_count()
+        return self._shares.whole_part(allowed, record.address)
 
     def _new_budget(self) -> budget.RetryPolicy:
         bounds = self._cfg.bounds
         return budget.RETRY_POLICIES['window'](
-            bounds.retry_ratio * BUDGET_SHARE,
-            lambda: bounds.retry_slack * BUDGET_SHARE / self._entry_count(),
+            bounds.retry_ratio * shares.USED_SHARE,
+            lambda: bounds.retry_slack * self._shares.fraction(),
             bounds.retry_window_s,
         )
-
-    def _entry_count(self) -> int:
-        """Return the number of entries that share the deployment's limits."""
-        return self._max_entry_count or DEFAULT_ENTRY_COUNT
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -42,9 +42,13 @@
 """Share of the slots that is used whatever the measured pass time, so that a
 measurement cannot leave a target idle."""
 
-REPORT_OVERDUE_S = 0.6
-"""Age of the last load report from which the target is used only if no other
-one is available: four report periods of agents."""
+REPORT_OVERDUE_PERIODS = 4.0
+MAX_REPORT_OVERDUE_S = 1.0
+"""Age of the last load report, in periods of its agent and at most, from which
+the target is used only if no other one is available."""
+
+DEFAULT_REPORT_PERIOD_S = 0.15
+"""Period of load reports of an agent that does not tell it."""
 
 STALLED_PASS_S = 0.9
 """Pass time from which a group counts as stalled and gets no calls. A group
@@ -69,6 +73,7 @@
     :ivar own_calls: calls of this entry that ran at the target at that time.
     :ivar is_open: whether the target's group was serving.
     :ivar pass_s: mean duration of an engine pass, 0 if unknown.
+    :ivar period_s: period of the agent's reports, 0 if unknown.
     """
 
     received_s: float
@@ -77,6 +82,7 @@
     own_calls: int
     is_open: bool
     pass_s: float = 0.0
+    period_s: float = 0.0
 
 
 class DirectTargets:
@@ -85,7 +91,9 @@
     def __init__(
         self,
         directory: state.Directory,
-        cold_limit: Callable[[model.Service], float] = lambda _: math.inf,
+        cold_limit: Callable[
+            [model.Service, model.TargetRecord], float
+        ] = lambda service, record: math.inf,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Create a view of the targets in *directory*.
@@ -255,16 +263,19 @@
         is_open: bool = True,
         group: str = '',
         pass_s: float | None = None,
+        period_s: float = 0.0,
     ) -> None:
         """Record a load report that was received just now.
 
         :param is_open: whether the target's group is serving.
         :param group: name of that group, empty if not reported.
         :param pass_s: mean duration of its passes, None if not reported.
+        :param period_s: period of the reports of its agent, 0 if not reported.
         """
         if pass_s is None:
             previous = self._fresh_report(name)
             pass_s = previous.pass_s if previous else 0.0
+            period_s = previous.period_s if previous else 0.0
         if group:
             self._group_by_target[name] = group
         self._reports[name] = _LoadReport(
@@ -274,6 +285,7 @@
             self._outstanding[name],
             is_open,
             pass_s,
+            period_s,
         )
 
     def _has_cold_capacity(self, record: model.TargetRecord) -> bool:
@@ -290,7 +302,7 @@
         window_start_s = self._clock() - COLD_WINDOW_S
         while sent and sent[0] < window_start_s:
             sent.popleft()
-        return len(sent) + 1 <= max(1.0, self._cold_limit(service))
+        return len(sent) + 1 <= self._cold_limit(service, record)
 
     def _accepts_calls(self, record: model.TargetRecord) -> bool:
         if (
@@ -334,11 +346,14 @@
         and then no call is answered.
         """
         report = self._reports.get(record.name)
-        return (
-            record.name in self._group_by_target
-            and report is not None
-            and self._clock() - report.received_s > REPORT_OVERDUE_S
+        if record.name not in self._group_by_target or report is None:
+            return False
+        overdue_s = min(
+            MAX_REPORT_OVERDUE_S,
+            REPORT_OVERDUE_PERIODS
+            * (report.period_s or DEFAULT_REPORT_PERIOD_S),
         )
+        return self._clock() - report.received_s > overdue_s
 
     def _fresh_report(self, name: str) -> _LoadReport | None:
         report = self._reports.get(name)
--- a/src/wagtailhollow/internal/experts/live/demand_relay.py
+++ b/src/wagtailhollow/internal/experts/live/demand_relay.py
@@ -2,8 +2,8 @@
 
 The demand of one rank takes as many bytes as there are experts, so the link of
 a coordinator cannot carry that of each rank often enough. The ranks are
-therefore divided into parts. The lowest live rank of a part adds the counts of
-its part up and sends the sum, which takes the same space.
+therefore divided into parts. One rank of a part, the collector, adds the
+counts up and sends the sum, which takes the same space.
 """
 
 from __future__ import annotations
@@ -51,26 +51,24 @@
     )
 
 
-def collector(
-    rank: int,
-    order: Sequence[int],
-    size: int,
-    live: Collection[int],
-    coordinator: int,
-) -> int:
-    """Return the rank that adds up the part of *rank*.
+def choose_collectors(
+    order: Sequence[int], size: int, live: Collection[int], coordinator: int
+) -> list[int]:
+    """Return the rank of each part that adds its demand up.
 
     It is the coordinator in its own part, elsewhere the first live rank.
 
-    :param order: all known ranks, in the order in which they are divided.
+    :param order: all ranks, in the order in which they are divided.
     :param size: number of ranks of a part.
     """
-    position = order.index(rank)
-    start = position - position % size
-    part = order[start : start + size]
-    if coordinator in part:
-        return coordinator
-    return next((item for item in part if item in live), rank)
+    parts = [order[at : at + size] for at in range(0, len(order), size)]
+    chosen = [
+        coordinator
+        if coordinator in part
+        else next((item for item in part if item in live), None)
+        for part in parts
+    ]
+    return [item for item in chosen if item is not None]
 
 
 class DemandRelay:
--- a/src/wagtailhollow/internal/experts/live/group_view.py
+++ b/src/wagtailhollow/internal/experts/live/group_view.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Mapping
 
 from ...datagram import messages
 from . import model
@@ -22,6 +23,11 @@
 """A term is a multiple of this plus the coordinator's rank, so that terms of
 different ranks differ. Ranks are 16-bit numbers in messages."""
 
+STANDBY_TIMEOUT_S = 2.5
+"""Age of the last roster from which a rank that is not on standby may become
+coordinator: the time-out of the coordinator, that of a standby rank which does
+not take over, and the time to hear from all ranks."""
+
 _SWITCH_PHASES = frozenset(
     {
         model.Phase.HOLD,
@@ -34,10 +40,28 @@
 Status = messages.RankStatus
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Duties:
+    """Decoded roster of a coordinator.
+
+    :ivar standbys: IP addresses of the standby ranks, by rank.
+    :ivar collectors: IP addresses of the ranks that add demand up, by rank.
+    """
+
+    term: int
+    standbys: Mapping[int, str]
+    collectors: Mapping[int, str]
+
+
 class GroupView:
     """Last known status of each rank in this agent's group.
 
+    In a large group the statuses of all ranks reach only the coordinator and
+    the standby ranks of its roster; the others hear from all ranks when the
+    coordinator is lost.
+
     :ivar changed: set whenever a status arrives.
+    :ivar roster: duties that the coordinator has given, or None.
     :ivar addresses: engine address of every rank that has been heard, by rank.
     """
 
@@ -48,6 +72,8 @@
         self._intent: messages.Intent | None = None
         self._term = 0
         self._term_s = 0.0
+        self.roster: Duties | None = None
+        self._roster_s = 0.0
         self.changed = asyncio.Event()
         self.addresses: dict[int, str] = {}
 
@@ -79,6 +105,18 @@
         self._intent = intent
         self._intent_s = now_s
 
+    def record_roster(self, duties: Duties) -> None:
+        """Record the coordinator's roster."""
+        if self.roster is None or duties.term >= self.roster.term:
+            self.roster, self._roster_s = duties, self._clock()
+
+    def recent_roster(self) -> Duties | None:
+        """Return the roster while its coordinator is alive, else None."""
+        roster = self.roster
+        if roster is None or not self._is_intent_recent(roster.term):
+            return None
+        return roster
+
     def recent_statuses(self, own: Status) -> dict[int, Status]:
         """Return the last statuses of the ranks that are alive, by rank.
 
@@ -127,7 +165,23 @@
             or self._is_intent_recent(highest)
         ):
             return coordinator
-        return min(heard)
+        return self._successor(own.rank, heard.keys())
+
+    def _successor(self, own_rank: int, heard: Collection[int]) -> int:
+        """Return the lowest live rank, at first among the standby ranks.
+
+        A rank that is not on standby may hear only itself. It takes over after
+        it has had the time to hear from the others.
+        """
+        roster = self.roster
+        if (
+            roster is None
+            or not roster.standbys
+            or self._clock() - self._roster_s > STANDBY_TIMEOUT_S
+        ):
+            return min(heard)
+        live = roster.standbys.keys() & heard
+        return min(live or roster.standbys)
 
     def _is_intent_recent(self, term: int) -> bool:
         """Return whether the coordinator of a term has just sent an intent.
@@ -146,15 +200,6 @@
         if term > self._term:
             self._term, self._term_s = term, self._clock()
 
-    def recent_ranks(self) -> set[int]:
-        """Return the ranks whose agents are alive."""
-        now_s = self._clock()
-        return {
-            number
-            for number, (received_s, _) in self._last_statuses.items()
-            if now_s - received_s <= AGENT_TIMEOUT_S
-        }
-
     def ips(self) -> set[str]:
         """Return the IP addresses of all ranks that were ever heard."""
         return {item.rpartition(':')[0] for item in self.addresses.values()}
--- a/src/wagtailhollow/internal/experts/live/messenger.py
+++ b/src/wagtailhollow/internal/experts/live/messenger.py
@@ -9,12 +9,19 @@
 
 import asyncio
 import copy
-import socket
+import itertools
 import time
 import zlib
-from collections.abc import Callable, Collection, Iterable, Mapping
-
-from ...datagram import messages
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Mapping,
+    Sequence,
+)
+
+from ...datagram import endpoint, messages
+from ...observability import decisions
 from . import demand, demand_relay, group_view, model, packing, rank, spreading
 
 POLL_PERIOD_S = 0.1
@@ -26,14 +33,25 @@
 FAST_POLLS_S = 0.3
 
 PRESENCE_PERIOD_S = 0.25
-"""Period of status messages to the whole group. An agent that is heard only by
-these counts as lost after 0.7 s, that is, when two in a row are lost."""
+"""Period of status messages to the standby ranks, or to the whole group while
+there is no coordinator. An agent that is heard only by these counts as lost
+after 0.7 s, that is, when two in a row are lost."""
 
 DETAIL_PERIOD_S = 1.0
 """Period of statuses with the experts of the rank. They are sent to the
 coordinator only, and also at once after a change of the epoch, the map or the
 coordinator, and when it asks for the status."""
 
+ROSTER_PERIOD_S = 0.5
+"""Period of the coordinator's roster; several fit into the time after which a
+rank that is not on standby may take over."""
+
+MIN_STANDBYS = 6
+"""Number of ranks, at least, that get all statuses in a large group."""
+
+SMALL_GROUP_SIZE = 16
+"""Size up to which all ranks are on standby."""
+
 LIFE_SIGN_PERIOD_S = 0.1
 """Period of the coordinator's intents to the whole group."""
 
@@ -55,8 +73,6 @@
 """Share of a link that repeated intents and the statuses that answer them may
 take during a change."""
 
-_IP_BYTES = 4
-
 
 class GroupMessenger:
     """Sends and receives the messages of one agent within its group.
@@ -99,13 +115,14 @@
         self._sent_key: tuple | None = None
         self._sent_s = 0.0
         # Agents that start together would otherwise send at the same time.
-        phase = zlib.crc32(address.encode()) / (1 << 32)
-        self._presence_sent_s = clock() - phase * PRESENCE_PERIOD_S
+        self._phase = zlib.crc32(address.encode()) / (1 << 32)
+        self._presence_sent_s = clock() - self._phase * PRESENCE_PERIOD_S
         self._detail_key: tuple | None = None
         self._detail_due_s = 0.0
         self._is_status_wanted = False
-        self._demand_sent_s = clock() - phase * demand_relay.LEAST_PERIOD_S
+        self._demand_sent_s = 0.0
         self._life_sign_s = 0.0
+        self._roster_sent_s = 0.0
         self._announced: tuple[int, int] | None = None
         self._map_key: tuple[int, int] | None = None
         self._map_sent_s: dict[str, float] = {}
@@ -155,6 +172,19 @@
         if self._controller.accept(intent):
             self._poll_faster()
 
+    def on_roster(self, message: messages.Roster, ip: str) -> None:
+        """Record the coordinator's roster."""
+        report = self._controller.report
+        if report is None or (message.group, message.epoch) != (
+            report.group,
+            report.epoch,
+        ):
+            return
+        try:
+            self._view.record_roster(_decode_roster(message))
+        except ValueError as exc:
+            decisions.log('roster_unreadable', ip=ip, reason=str(exc))
+
     def on_demand(self, message: messages.ExpertDemand, ip: str) -> None:
         """Record the demand of another rank or of a part of the group."""
         self._relay.record(message)
@@ -166,7 +196,7 @@
         if key > self._forwarded_key:
             self._sender.clear()
         self._forwarded_key = key
-        ips = _unpack_ips(intent.forward_to)
+        ips = endpoint.unpack_ips(intent.forward_to)
         intent.forward_to = b''
         for ip in ips:
             self._sender.put(intent, _size(intent), ip)
@@ -181,6 +211,7 @@
         now_s = self._clock()
         is_idle = intent.phase == model.Phase.IDLE
         key = (intent.term, intent.serial)
+        self._send_roster(intent, now_s)
         is_due = now_s - self._life_sign_s >= self._life_sign_period_s(is_idle)
         brief = without_map(intent)
         ips = _ips(lagging) - {self._ip}
@@ -223,6 +254,56 @@
             / (SWITCH_LINK_SHARE * self._bytes_per_s),
         )
 
+    def _send_roster(self, intent: messages.Intent, now_s: float) -> None:
+        report = self._controller.report
+        if report is None or now_s - self._roster_sent_s < ROSTER_PERIOD_S:
+            return
+        self._roster_sent_s = now_s
+        addresses = self._view.addresses | {report.rank: self._address}
+        status = self._controller.status()
+        live = self._view.recent_statuses(status).keys() & addresses.keys()
+        order = self._order(addresses)
+        collectors = demand_relay.choose_collectors(
+            order,
+            demand_relay.part_size(
+                report.size, self._demand_bytes(), self._bytes_per_s
+            ),
+            live,
+            report.rank,
+        )
+        standbys = self._standbys(order, live)
+        message = messages.Roster(
+            term=intent.term,
+            group=intent.group,
+            epoch=intent.epoch,
+            standby_ranks=packing.pack_numbers(standbys),
+            standby_ips=endpoint.pack_ips(
+                _ip(addresses[number]) for number in standbys
+            ),
+            collector_ranks=packing.pack_numbers(collectors),
+            collector_ips=endpoint.pack_ips(
+                _ip(addresses[number]) for number in collectors
+            ),
+        )
+        self._view.record_roster(_decode_roster(message))
+        self._transmit(message, self._group_ips())
+
+    def _standbys(
+        self, order: Sequence[int], live: Collection[int]
+    ) -> list[int]:
+        """Return live ranks, one of each data centre after the other."""
+        if len(order) <= SMALL_GROUP_SIZE:
+            return list(order)
+        peers = self._peers()
+        by_data_centre: dict[str, list[int]] = {}
+        for number in order:
+            if number in live:
+                ip = _ip(self._view.addresses.get(number, self._address))
+                by_data_centre.setdefault(peers.get(ip, ''), []).append(number)
+        turns = itertools.zip_longest(*by_data_centre.values())
+        ranks = [n for n in itertools.chain(*turns) if n is not None]
+        return ranks[: max(MIN_STANDBYS, len(by_data_centre))]
+
     def _obey(self, intent: messages.Intent) -> None:
         self._view.record_intent(intent)
         is_change = self._controller.accept(intent)
@@ -269,7 +350,7 @@
         )
         for relay, receivers in groups:
             part = copy.copy(message)
-            part.forward_to = _pack_ips(receivers)
+            part.forward_to = endpoint.pack_ips(receivers)
             part.wants_status = not is_first
             self._sender.put(part, size + len(part.forward_to), relay)
         # A relay takes at most as long for its receivers.
@@ -296,7 +377,7 @@
         brief.experts = b''
         if now_s - self._presence_sent_s >= PRESENCE_PERIOD_S:
             self._presence_sent_s = now_s
-            self._transmit(brief, self._group_ips())
+            self._transmit(brief, self._presence_ips())
         if not coordinator_ip or coordinator_ip == self._ip:
             return
         detail_key = (
@@ -326,11 +407,22 @@
     def send_demand(self) -> None:
         """Send the demand of this rank, or of its part, when it is due."""
         report = self._controller.report
-        if report is None or not self._demand.size:
+        roster = self._view.recent_roster()
+        if (
+            report is None
+            or not self._demand.size
+            or roster is None
+            or not roster.collectors
+        ):
             return
         now_s = self._clock()
         period_s = self._demand_period_s(report.size)
-        if now_s - self._demand_sent_s < period_s:
+        since_s = now_s - self._demand_sent_s
+        if since_s > 2 * period_s:
+            # A roster lets all ranks begin at the same time.
+            self._demand_sent_s = now_s - self._phase * period_s
+            return
+        if since_s < period_s:
             return
         status = self._controller.status()
         own = messages.ExpertDemand(
@@ -340,20 +432,11 @@
             counts=packing.pack_counts(self._demand.counts()),
         )
         self._demand_sent_s = now_s
-        status.address = self._address
         coordinator = self._view.coordinator_rank(status)
-        collector = demand_relay.collector(
-            status.rank,
-            self._order({status.rank: self._address}),
-            demand_relay.part_size(
-                status.size, self._demand_bytes(), self._bytes_per_s
-            ),
-            self._view.recent_ranks(),
-            coordinator,
-        )
-        is_collector = collector == status.rank
+        collectors = roster.collectors
+        is_collector = status.rank in collectors
         if not is_collector:
-            self._send_demand(own, collector)
+            self._transmit(own, (self._nearest(status.rank, collectors),))
         total = self._relay.part_sum(
             own, is_collector, demand_relay.MAX_AGE_PERIODS * period_s
         )
@@ -361,8 +444,18 @@
             return
         if coordinator == status.rank:
             self._relay.record(total)
-        else:
-            self._send_demand(total, coordinator)
+            return
+        address = self._view.addresses.get(coordinator)
+        if address:
+            self._transmit(total, (_ip(address),))
+
+    def _nearest(self, own_rank: int, collectors: Mapping[int, str]) -> str:
+        """Return a collector's address, of the own data centre if possible."""
+        peers = self._peers()
+        own = peers.get(self._ip)
+        ips = sorted(collectors.values())
+        near = [ip for ip in ips if peers.get(ip) == own] or ips
+        return near[own_rank % len(near)]
 
     def demand_counts(self) -> list[float]:
         """Return the demand of the whole group as far as it has arrived."""
@@ -383,23 +476,20 @@
             ranks, self._demand_bytes(), self._bytes_per_s
         )
 
-    def _send_demand(self, message: messages.ExpertDemand, to: int) -> None:
-        address = self._view.addresses.get(to)
-        if address:
-            self._transmit(message, _ips([address]))
-
-    def _order(self, own: Mapping[int, str]) -> list[int]:
-        """Return the known ranks by data centre, then by number."""
+    def _order(self, addresses: Mapping[int, str]) -> list[int]:
+        """Return ranks by data centre, then by number."""
         peers = self._peers()
-        addresses = self._view.addresses | own
         return sorted(
-            addresses,
-            key=lambda number: (
-                peers.get(addresses[number].rpartition(':')[0], ''),
-                number,
-            ),
+            addresses, key=lambda n: (peers.get(_ip(addresses[n]), ''), n)
         )
 
+    def _presence_ips(self) -> set[str]:
+        """Return the addresses of the agents that have to know this one."""
+        roster = self._view.recent_roster()
+        if roster is None or len(self._view.addresses) <= SMALL_GROUP_SIZE:
+            return self._group_ips()
+        return set(roster.standbys.values()) - {self._ip}
+
     def _status_period_s(self, size: int) -> float:
         return max(
             POLL_PERIOD_S,
@@ -442,20 +532,32 @@
     )
 
 
+def _ip(address: str) -> str:
+    return address.rpartition(':')[0]
+
+
 def _ips(addresses: Iterable[str]) -> set[str]:
-    return {address.rpartition(':')[0] for address in addresses}
+    return set(map(_ip, addresses))
 
 
-def _size(intent: messages.Intent) -> int:
-    return INTENT_BYTES + len(intent.full_map) + len(intent.moves)
+def _decode_roster(message: messages.Roster) -> group_view.Duties:
+    """Return the roster; raises ValueError."""
+    return group_view.Duties(
+        message.term,
+        _by_rank(message.standby_ranks, message.standby_ips),
+        _by_rank(message.collector_ranks, message.collector_ips),
+    )
 
 
-def _pack_ips(ips: Iterable[str]) -> bytes:
-    return b''.join(map(socket.inet_aton, ips))
+def _by_rank(ranks: bytes, ips: bytes) -> dict[int, str]:
+    return dict(
+        zip(
+            packing.unpack_numbers(ranks),
+            endpoint.unpack_ips(ips),
+            strict=True,
+        )
+    )
 
 
-def _unpack_ips(data: bytes) -> list[str]:
-    return [
-        socket.inet_ntoa(data[start : start + _IP_BYTES])
-        for start in range(0, len(data) - _IP_BYTES + 1, _IP_BYTES)
-    ]
+def _size(intent: messages.Intent) -> int:
+    return INTENT_BYTES + len(intent.full_map) + len(intent.moves)
--- a/src/wagtailhollow/internal/experts/live/packing.py
+++ b/src/wagtailhollow/internal/experts/live/packing.py
@@ -135,6 +135,16 @@
     return tuple(after)
 
 
+def pack_numbers(numbers: Iterable[int]) -> bytes:
+    """Encode ranks; raises ValueError."""
+    return _pack(numbers)
+
+
+def unpack_numbers(data: bytes) -> list[int]:
+    """Decode ranks; raises ValueError."""
+    return _unpack(data).tolist()
+
+
 def pack_counts(counts: Sequence[float]) -> bytes:
     """Encode counts as a scale and one byte each.
 
--- a/standins/live_group.py
+++ b/standins/live_group.py
@@ -370,6 +370,7 @@
             messages.RankStatus: self.messenger.on_status,
             messages.Intent: self.messenger.on_intent,
             messages.ExpertDemand: self.messenger.on_demand,
+            messages.Roster: self.messenger.on_roster,
         }[type(message)]
         handler(message, ip)
 
--- a/tests/cover/test_direct_targets.py
+++ b/tests/cover/test_direct_targets.py
@@ -38,7 +38,7 @@
         directory.apply_targets(follow.Update(documents, 1, True, False))
         self.entries = [
             targets.DirectTargets(
-                directory, lambda service: 3.0, lambda: self.now
+                directory, lambda service, record: 3.0, lambda: self.now
             )
             for _ in range(entries)
         ]
--- a/tests/cover/test_large_groups.py
+++ b/tests/cover/test_large_groups.py
@@ -12,6 +12,7 @@
 import pytest
 
 from standins import live_group, memory_platform
+from wagtailhollow.internal.experts.live import group_view
 
 MBIT = 125_000.0
 LISTENING_S = 2.0
@@ -49,6 +50,7 @@
             agent.start()
         await asyncio.sleep(LISTENING_S)
         group.dropped.clear()
+        group.sent.clear()
         group.versions = group.versions[-1:]
         await asyncio.sleep(seconds)
         for agent in group.agents:
@@ -73,3 +75,76 @@
     assert len(group.terms) == 1, 'another rank has taken over'
     assert len(group.versions) > 2, 'the map changes too slowly'
     assert not group.dropped, 'a link was full'
+
+
+def lose_agents(case, choose, seconds):
+    """Run a group that loses the agents that *choose* returns; return it."""
+    group = live_group.Group(case.ranks, 2, case.shape)
+
+    async def work():
+        passes = asyncio.create_task(group.run_passes())
+        for agent in group.agents:
+            agent.start()
+        await asyncio.sleep(LISTENING_S)
+        for number in choose(group):
+            group.agents[number].kill()
+        group.versions = group.versions[-1:]
+        await asyncio.sleep(seconds)
+        for agent in group.agents:
+            agent.kill()
+        passes.cancel()
+        await asyncio.gather(passes, return_exceptions=True)
+
+    memory_platform.run_in_virtual_time(work)
+    return group
+
+
+def coordinator_of(group):
+    return {group.terms[-1] % group_view.TERM_STRIDE}
+
+
+def coordinator_and_standbys(group):
+    (number,) = coordinator_of(group)
+    roster = group.agents[number].view.roster
+    return coordinator_of(group) | roster.standbys.keys()
+
+
+def data_centre_of_the_coordinator(group):
+    (number,) = coordinator_of(group)
+    lost = group.data_centres[live_group.ip_of(number)]
+    return {
+        live_group.number_of(ip)
+        for ip, name in group.data_centres.items()
+        if name == lost
+    }
+
+
+@pytest.mark.parametrize(
+    ('choose', 'takeover_s'),
+    [
+        (coordinator_of, 1.5),
+        (data_centre_of_the_coordinator, 1.5),
+        (coordinator_and_standbys, 4.5),
+    ],
+)
+def test_lost_coordinator_is_replaced(choose, takeover_s):
+    """Guards against a group whose map never changes again.
+
+    Only the standby ranks hear from all others while there is a coordinator.
+    """
+    case = CASES[1]
+    copies_s = case.shape.moves * case.shape.copy_s
+    group = lose_agents(case, choose, takeover_s + MAX_ROUND_S + copies_s)
+    assert not group.mixed_steps
+    assert len(group.versions) > 1, 'the map does not change'
+    assert len(group.terms) == 2, 'more than one rank took over'
+    assert group.longest_pause_s < takeover_s
+
+
+def test_statuses_do_not_grow_with_the_square_of_the_group():
+    """Guards against agents that send their status to the whole group."""
+    sent = {}
+    for case in CASES[1:3]:
+        group = run_group(case, 1.0, 0.0)
+        sent[case.ranks] = group.sent['RankStatus'] / case.ranks
+    assert sent[63] < 1.2 * sent[32]
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -149,13 +149,33 @@
     entry = Entry(2)
     entry.report(0, 3, 0.05, 'g0')
     entry.report(1, 5, 0.05, 'g1')
-    entry.now += targets.REPORT_OVERDUE_S + 0.1
+    entry.now += (
+        targets.REPORT_OVERDUE_PERIODS * targets.DEFAULT_REPORT_PERIOD_S + 0.1
+    )
     entry.report(1, 5, 0.05, 'g1')
     assert entry.names() == {'i-1'}
     entry.report(1, 5, 0.05, 'g1', is_open=False)
     assert entry.names() == {'i-0'}, 'no other target is serving'
 
 
+def test_reports_of_an_agent_with_many_entries_are_overdue_later():
+    """Guards against sound targets that are avoided in a large deployment.
+
+    An agent with many entries reports to each of them less often.
+    """
+    entry = Entry(2)
+    for number in range(2):
+        entry.view.record_report(
+            f'i-{number}', 1, 0, True, f'g{number}', 0.05, period_s=0.24
+        )
+    entry.now += 0.9
+    entry.report(1, 1, 0.05, 'g1')
+    assert entry.names() == {'i-0', 'i-1'}
+    entry.now += targets.MAX_REPORT_OVERDUE_S - 0.8
+    entry.report(1, 1, 0.05, 'g1')
+    assert entry.names() == {'i-1'}
+
+
 def test_entry_subscribes_at_once_to_agents_of_new_targets():
     """Guards against attempts wasted on groups that are not serving yet.
 
