Bound bytes without end, end idle streams by events, wait for connections

Bytes without end (test_endless_bytes, red on the code before: 200 MB were read from header lines without the connection being closed). A response head, with interim and late ones before it, framing and trailers, is bounded; so are the bodies of late responses and a single event. A response that is not a stream is buffered up to 64 KB and relayed as it arrives beyond, where 16 MB were kept.

The idle time-out was restarted by any byte, so a stalled stream that sent a byte now and then was kept; now it ends with the last event. It follows from the time after which callers leave (0.6 of it, 1.2 s as before on routes with 2 s) and is longer for a group that reports slow passes, so that a sound stream is not cut. After the head, a target whose agent reports gets until the callers' time-out for the first event; before, until the deadline.

--- a/src/wagtailhollow/internal/agent/direct/compose.py
+++ b/src/wagtailhollow/internal/agent/direct/compose.py
@@ -41,7 +41,7 @@
 a tenth of a call."""
 
 SUBSCRIPTION_S = 3.0
-COUNT_DELAY_S = 1.3
+COUNT_DELAY_S = 1.1
 """Time after the start in which all entries have subscribed, which they do
 once a second. Entries divide limits by the length of the list, so that a list
 that is too short would make them exceed a limit together."""
--- a/src/wagtailhollow/internal/entry/agent_targets.py
+++ b/src/wagtailhollow/internal/entry/agent_targets.py
@@ -18,9 +18,16 @@
         self,
         view: load_view.LoadView,
         table_view: Callable[[], queries.TableView | None],
+        is_connected: Callable[[str], bool],
     ) -> None:
+        """Create a source.
+
+        :param is_connected: whether there is a connection to the agent at an
+            address.
+        """
         self._load_view = view
         self._table_view = table_view
+        self._is_connected = is_connected
 
     def has_available_target(self, call: call_module.Call) -> bool:
         """See :class:`calls.TargetSource`.
@@ -51,8 +58,12 @@
     def has_capacity(
         self, call: call_module.Call, candidate: policy.Candidate
     ) -> bool:
-        """Return True: agents refuse calls beyond the caps of targets."""
-        return True
+        """See :class:`calls.TargetSource`.
+
+        Agents refuse calls beyond the caps of targets. While there is no
+        connection to an agent, calls wait for it.
+        """
+        return self._is_connected(candidate.address)
 
     def attempt(
         self,
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -129,7 +129,9 @@
         handler = calls.CallHandler(
             runner,
             agent_targets.AgentTargets(
-                self._load_view, lambda: self._table_view
+                self._load_view,
+                lambda: self._table_view,
+                lambda address: self._peers.get(address) is not None,
             ),
             claimed,
             cfg.request_limits.max_wait_s,
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -14,11 +14,12 @@
 from ...observability import decisions
 from ...platform import headers
 from ..attempt import Attempt, AttemptFailed, Phase
-from . import events, routed_call, sink, targets
+from . import caller_timeouts, events, routed_call, sink, targets
 
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-"""Maximum body size of a response that is not a stream; such a response is
-buffered until it is complete."""
+BUFFERED_BYTES = 64 * 1024
+"""Size up to which a response that is not a stream is buffered until it is
+complete, so that another target can be tried; a longer one is relayed as it
+arrives. With the most connections that an entry accepts this is 58 MB."""
 
 ONCE_CONNECTION_MAX_IDLE_S = 1.0
 """Idle time after which a connection is not reused for a call that runs at
@@ -30,11 +31,6 @@
 """Number of distinct operator priorities. A target's queue has 10 levels; one
 is for interrupted streams, and late calls need as many as other calls."""
 
-STREAM_IDLE_TIMEOUT_S = 1.2
-"""Time without data after which a stream is resumed at another target. Callers
-disconnect after 2 s or more without an event; an engine pass normally takes up
-to about 0.3 s."""
-
 REPORT_CHECK_PERIOD_S = 0.1
 """Period of the check whether the load reports of an unresponsive target are
 overdue; shorter than the agents' report period of 0.15 s."""
@@ -212,7 +208,7 @@
             view.record_load_header(self.record, head.get(headers.LOAD))
             self._raise_if_refused(head, view)
             if self.call.is_stream and head.status == 200:
-                await self._relay_stream(conn, head)
+                await self._relay_stream(conn, head, view)
             else:
                 await self._relay_response(conn, head)
         except connection.ResponseLost as exc:
@@ -232,24 +228,34 @@
         """
         send_task = asyncio.ensure_future(conn.send(self._build_request()))
         try:
-            if self.call.is_stream and self.call.route.is_resumable:
-                await asyncio.wait({send_task}, timeout=STREAM_IDLE_TIMEOUT_S)
-                while not send_task.done() and not view.is_report_overdue(
-                    self.record
-                ):
-                    await asyncio.wait(
-                        {send_task}, timeout=REPORT_CHECK_PERIOD_S
-                    )
-                if not send_task.done():
-                    raise connection.ResponseLost(
-                        'the target is silent, and so is its agent'
-                    )
+            if self._can_resume:
+                await self._wait_unless_silent(send_task, view)
             return await send_task
         finally:
             if not send_task.done():
                 send_task.cancel()
                 await asyncio.gather(send_task, return_exceptions=True)
 
+    @property
+    def _can_resume(self) -> bool:
+        return self.call.is_stream and self.call.route.is_resumable
+
+    async def _wait_unless_silent(
+        self, task: asyncio.Future, view: targets.DirectTargets
+    ) -> None:
+        """Wait for the first bytes of a stream; raise if none will come.
+
+        A slow engine is waited for as long as its agent reports.
+        """
+        timeout_s = caller_timeouts.idle_timeout_s(self.call.route, 0.0)
+        await asyncio.wait({task}, timeout=timeout_s)
+        while not task.done() and not view.is_report_overdue(self.record):
+            await asyncio.wait({task}, timeout=REPORT_CHECK_PERIOD_S)
+        if not task.done():
+            raise connection.ResponseLost(
+                'the target is silent, and so is its agent'
+            )
+
     def fail(self, kind: errors.ErrorKind, message: str) -> NoReturn:
         """Raise AttemptFailed after the request was sent.
 
@@ -306,10 +312,11 @@
     async def _relay_response(
         self, conn: connection.HttpConnection, head: connection.Head
     ) -> None:
-        body = await conn.read_all(MAX_RESPONSE_BYTES)
+        body, is_whole = await conn.read_up_to(BUFFERED_BYTES)
         answer = sink.BufferedResponse(head.status, head.headers, body)
         if head.status >= 500 and not self.call.must_not_repeat:
-            self._response_sink.fallback = answer
+            if is_whole:
+                self._response_sink.fallback = answer
             self.fail(
                 errors.ErrorKind.ENGINE_FAILED,
                 f'the target answered {head.status}',
@@ -323,48 +330,108 @@
                 f'the target answered {head.status} and may have run the call',
             )
         self._validate_success(head)
-        await self._response_sink.send_response(answer)
+        if is_whole:
+            await self._response_sink.send_response(answer)
+        else:
+            await self._relay_long_response(conn, answer)
+
+    async def _relay_long_response(
+        self, conn: connection.HttpConnection, start: sink.BufferedResponse
+    ) -> None:
+        """Relay a response as it arrives; the end of a broken one is cut."""
+        await self._response_sink.start(start.status, start.headers)
+        await self._response_sink.write(start.body)
+        while data := await conn.read():
+            await self._response_sink.write(data)
+        await self._response_sink.finish()
 
     async def _relay_stream(
-        self, conn: connection.HttpConnection, head: connection.Head
+        self,
+        conn: connection.HttpConnection,
+        head: connection.Head,
+        view: targets.DirectTargets,
     ) -> None:
         self._validate_success(head)
         self.position.discard_partial()
         rows = [row for row in head.headers if row[0] != b'content-length']
+        event_s = time.monotonic()
         while True:
-            data = await self._read_chunk(conn)
+            data = await self._read_chunk(conn, view, event_s)
             if not data and self.position.remainder().strip():
                 raise connection.ResponseLost(
                     'the stream ended in the middle of an event'
                 )
-            complete = (
-                self.position.feed(data) if data else self.position.remainder()
-            )
+            try:
+                complete = (
+                    self.position.feed(data)
+                    if data
+                    else self.position.remainder()
+                )
+            except events.EventTooLong as exc:
+                raise connection.ResponseLost(
+                    f'event too long: {exc}'
+                ) from exc
             if (complete or not data) and not self._response_sink.is_started:
                 await self._response_sink.start(head.status, rows)
             if complete:
+                event_s = time.monotonic()
                 await self._response_sink.write(complete)
             if not data:
                 await self._response_sink.finish()
                 return
 
-    async def _read_chunk(self, conn: connection.HttpConnection) -> bytes:
+    async def _read_chunk(
+        self,
+        conn: connection.HttpConnection,
+        view: targets.DirectTargets,
+        event_s: float,
+    ) -> bytes:
         """Return the next bytes; raise ResponseLost if the stream is idle.
 
-        Only a stream that can resume has an idle time-out.
+        Only a stream that can resume has an idle time-out. It ends with an
+        event and not with any byte, as callers wait for events.
+
+        :param event_s: when the last event was relayed.
         """
-        can_resume = (
-            self.call.route.is_resumable and self._response_sink.is_started
+        if not self._can_resume:
+            return await conn.read()
+        if not self._response_sink.is_started:
+            return await self._read_first(conn, view, event_s)
+        idle_s = caller_timeouts.idle_timeout_s(
+            self.call.route, view.pass_s(self.record)
         )
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(
-                STREAM_IDLE_TIMEOUT_S if can_resume else None
-            ):
+            async with asyncio.timeout(event_s + idle_s - time.monotonic()):
                 return await conn.read()
         raise connection.ResponseLost(
-            f'the stream was silent for {STREAM_IDLE_TIMEOUT_S} s'
+            f'the stream had no event for {idle_s:.1f} s'
         )
 
+    async def _read_first(
+        self,
+        conn: connection.HttpConnection,
+        view: targets.DirectTargets,
+        head_s: float,
+    ) -> bytes:
+        """Return the next bytes before the first event of a stream.
+
+        :param head_s: when the head of the answer arrived.
+        """
+        limit_s = caller_timeouts.event_timeout_s(self.call.route)
+        read_task = asyncio.ensure_future(conn.read())
+        try:
+            async with asyncio.timeout(head_s + limit_s - time.monotonic()):
+                await self._wait_unless_silent(read_task, view)
+                return await read_task
+        except TimeoutError as exc:
+            raise connection.ResponseLost(
+                f'no event within {limit_s:.1f} s of the head'
+            ) from exc
+        finally:
+            if not read_task.done():
+                read_task.cancel()
+                await asyncio.gather(read_task, return_exceptions=True)
+
     def _validate_success(self, head: connection.Head) -> None:
         """Raise AttemptFailed if a success has no receipt or is encoded.
 
--- a/src/wagtailhollow/internal/entry/direct/caller_timeouts.py
+++ b/src/wagtailhollow/internal/entry/direct/caller_timeouts.py
@@ -14,6 +14,14 @@
 GAPS_PER_TIMEOUT maximum gaps of the route, as the platform specifies.
 """
 
+IDLE_SHARE = 0.6
+MAX_IDLE_SHARE = 0.85
+"""Shares of the callers' time-out after which a stream without an event is
+resumed, of a usual and of a slow group."""
+
+SLOW_PASSES = 2.0
+"""Passes without an event after which a stream of a slow group is resumed."""
+
 FIRST_EVENT_S = 0.6
 """Time to the first event once a target has a free slot, even if the engine
 has long prompts to process before."""
@@ -33,12 +41,32 @@
     """
     if route.kind is not model.CallKind.STREAM:
         return math.inf
-    timeout_s = max(
+    return event_timeout_s(route) - FIRST_EVENT_S
+
+
+def event_timeout_s(route: model.Route) -> float:
+    """Return the time without an event after which callers disconnect."""
+    return max(
         MIN_EVENT_TIMEOUT_S,
         OBJECTIVES_PER_TIMEOUT * route.objective_s,
         GAPS_PER_TIMEOUT * route.gap_s,
     )
-    return timeout_s - FIRST_EVENT_S
+
+
+def idle_timeout_s(route: model.Route, pass_s: float) -> float:
+    """Return the time without an event after which a stream is resumed.
+
+    A target whose group makes slow passes keeps its streams for two of them,
+    as long as there is time to resume elsewhere before the caller leaves.
+
+    :param pass_s: mean pass time that the target's agent reports, 0 if it is
+        not known.
+    """
+    limit_s = event_timeout_s(route)
+    return min(
+        max(IDLE_SHARE * limit_s, SLOW_PASSES * pass_s),
+        MAX_IDLE_SHARE * limit_s,
+    )
 
 
 class CallerTimeouts:
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -47,7 +47,7 @@
 
 INITIAL_SUBSCRIBE_PERIOD_S = 0.25
 """Subscription period until an agent has listed the entries. Without the list
-an entry sends no calls to cold targets."""
+an entry sends few calls to cold targets."""
 
 ASKED_AGENTS = 4
 """Number of agents that are asked for their list of entries each time."""
@@ -120,7 +120,7 @@
         self._connections = pool.ConnectionPool()
         self._directory.target_listeners.append(self._targets_changed)
         self._shares = shares.EntryShares(
-            cfg.ip, lambda: bool(self._agent_ips())
+            cfg.ip, lambda: len(self._directory.all_targets())
         )
         self._targets = targets.DirectTargets(
             self._directory, self._cold_limit
@@ -251,7 +251,7 @@
             # sooner.
             period_s = (
                 SUBSCRIBE_PERIOD_S
-                if self._shares.fraction()
+                if self._shares.has_list
                 else INITIAL_SUBSCRIBE_PERIOD_S
             )
             with contextlib.suppress(TimeoutError):
--- a/src/wagtailhollow/internal/entry/direct/events.py
+++ b/src/wagtailhollow/internal/entry/direct/events.py
@@ -6,6 +6,14 @@
 _ID_FIELD = b'id:'
 
 
+MAX_EVENT_BYTES = 256 * 1024
+"""Bytes of one event; far more than an engine makes in a pass."""
+
+
+class EventTooLong(Exception):
+    """An event has no end within :data:`MAX_EVENT_BYTES`."""
+
+
 class EventPosition:
     """Position in the event stream of a call, across its attempts.
 
@@ -16,24 +24,31 @@
     def __init__(self, last_id: bytes = b'') -> None:
         self.last_id = last_id
         self.events = 0
-        self._partial = b''
+        self._partial = bytearray()
 
     def discard_partial(self) -> None:
         """Discard a partial event; the next attempt sends it completely."""
-        self._partial = b''
+        self._partial = bytearray()
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete events in the buffered bytes and *data*.
 
         Events that were sent before are dropped: a target that resumes a
         stream may repeat the last one.
+
+        :raises EventTooLong: the last event has no end.
         """
-        data = self._partial + data
-        end = data.rfind(_EVENT_END)
+        # The end of an event may be split between two reads.
+        searched = max(0, len(self._partial) - len(_EVENT_END) + 1)
+        self._partial += data
+        end = self._partial.rfind(_EVENT_END, searched)
         if end < 0:
-            self._partial = data
+            if len(self._partial) > MAX_EVENT_BYTES:
+                raise EventTooLong(f'no end within {MAX_EVENT_BYTES} bytes')
             return b''
-        complete, self._partial = data[: end + 2], data[end + 2 :]
+        end += len(_EVENT_END)
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
         if self.events == 0 and not self.last_id:
             return self._record_sent(complete)
         return b''.join(
@@ -44,7 +59,7 @@
 
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event."""
-        return self._partial
+        return bytes(self._partial)
 
     def _record_sent(self, events: bytes) -> bytes:
         event_ids = _event_ids(events)
--- a/src/wagtailhollow/internal/entry/direct/shares.py
+++ b/src/wagtailhollow/internal/entry/direct/shares.py
@@ -22,8 +22,8 @@
 LIST_WINDOW_S = 3.0
 """How long a list of entries counts. Lists are asked for once a second."""
 
-AGENTLESS_ENTRY_COUNT = 16
-"""Number of entries that is assumed if no target has an agent."""
+MIN_ASSUMED_ENTRIES = 16
+"""Least number of entries that is assumed without a list."""
 
 USED_SHARE = 0.8
 """Share of a limit that is used: lists differ for a moment when entries start
@@ -36,16 +36,18 @@
     def __init__(
         self,
         ip: str,
-        has_agents: Callable[[], bool],
+        count_targets: Callable[[], int],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Create a view without lists.
 
         :param ip: address of this entry, as agents see it.
-        :param has_agents: whether any target has an agent.
+        :param count_targets: returns the number of registered targets. Until
+            an agent has sent a list, there are assumed to be as many entries:
+            a deployment has fewer entries than targets.
         """
         self._ip = ip
-        self._has_agents = has_agents
+        self._count_targets = count_targets
         self._clock = clock
         self._lists: dict[str, tuple[float, frozenset[str]]] = {}
         self._members: frozenset[str] = frozenset()
@@ -72,16 +74,16 @@
         while now_s - self._counts[0][0] > COUNT_WINDOW_S:
             self._counts.popleft()
 
-    def fraction(self) -> float:
-        """Return the part of a limit that this entry may use.
+    @property
+    def has_list(self) -> bool:
+        """Return whether an agent has sent a list."""
+        return bool(self._members)
 
-        :return: 0 until an agent has sent a list.
-        """
+    def fraction(self) -> float:
+        """Return the part of a limit that this entry may use."""
         if self._counts:
             return USED_SHARE / max(count for _, count in self._counts)
-        if self._has_agents():
-            return 0.0
-        return USED_SHARE / AGENTLESS_ENTRY_COUNT
+        return USED_SHARE / max(MIN_ASSUMED_ENTRIES, self._count_targets())
 
     def whole_part(self, limit: float, target: str) -> int:
         """Return this entry's part of a target's limit, a whole number.
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -355,6 +355,11 @@
         )
         return self._clock() - report.received_s > overdue_s
 
+    def pass_s(self, record: model.TargetRecord) -> float:
+        """Return the pass time that an agent reports, 0 if not known."""
+        report = self._fresh_report(record.name)
+        return report.pass_s if report else 0.0
+
     def _fresh_report(self, name: str) -> _LoadReport | None:
         report = self._reports.get(name)
         if (
--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -40,9 +40,10 @@
 from . import demand, group_view, model, packing, pass_time, rank
 
 POLL_PERIOD_S = 0.1
-CHECK_PERIOD_S = 0.005
-"""Least time between two looks at the statuses, so that the work does not grow
-with the square of the group when all ranks answer at once."""
+CHECK_PERIOD_PER_RANK_S = 50e-6
+"""Least time between two looks at the statuses, for each rank of the group, so
+that the work does not grow with the square of the group when all ranks answer
+at once."""
 
 MIN_LOOKAHEAD_STEPS = 3
 """The held step is at least this far ahead of the last step that the own rank
@@ -310,7 +311,9 @@
                 await self._view.changed.wait()
         except TimeoutError:
             return
-        await asyncio.sleep(CHECK_PERIOD_S)
+        await asyncio.sleep(
+            CHECK_PERIOD_PER_RANK_S * len(self._view.addresses)
+        )
 
     def _send(
         self,
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -29,6 +29,13 @@
 """Probes are sent once a second, so an idle connection to an unreachable peer
 is closed after about 4 s."""
 
+MAX_HEAD_BYTES = 64 * 1024
+"""Bytes that may arrive without any of a body among them: the head of a
+response with those of interim and late ones before it, framing, trailers."""
+
+MAX_SKIPPED_BYTES = 1024 * 1024
+"""Bytes of the bodies of late responses before the expected one."""
+
 REQUEST_ID_HEADER = b'x-request-id'
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -118,6 +125,8 @@
         self._head: Head | None = None
         self._body_chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
+        self._bytes_without_body = 0
+        self._skipped_bytes = 0
         self._is_skipped = False
         self._is_complete = False
         self._is_framed = False
@@ -187,6 +196,20 @@
                 raise ResponseLost(f'the response body exceeds {limit} bytes')
         return bytes(body)
 
+    async def read_up_to(self, size: int) -> tuple[bytes, bool]:
+        """Return the first bytes of the body and whether they are all of it.
+
+        Reads until the body is complete or longer than *size*.
+
+        :raises ResponseLost: the body was truncated.
+        """
+        body = bytearray()
+        while data := await self.read():
+            body += data
+            if len(body) > size:
+                return bytes(body), False
+        return bytes(body), True
+
     def _finish_response(self) -> None:
         if self._state is not _State.BODY:
             return
@@ -239,6 +262,7 @@
             # Data without a pending request: a duplicate response or garbage.
             self._abort('data received without a pending request')
         elif self._state is not _State.BROKEN:
+            self._bytes_without_body += len(data)
             try:
                 self._parser.feed_data(data)
             except httptools.HttpParserError as exc:
@@ -247,7 +271,12 @@
                     self._keeps_alive = False
                 else:
                     self._abort(f'malformed HTTP response: {exc}')
-            if self._buffered_bytes > PAUSE_BYTES:
+            if (
+                self._bytes_without_body > MAX_HEAD_BYTES
+                or self._skipped_bytes > MAX_SKIPPED_BYTES
+            ):
+                self._abort('the peer sends bytes that are no response')
+            elif self._buffered_bytes > PAUSE_BYTES:
                 self._transport.pause_reading()
             self._wake_waiter()
 
@@ -321,9 +350,14 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect bytes of the body."""
-        if self._head is not None and not self._is_complete:
-            self._body_chunks.append(data)
-            self._buffered_bytes += len(data)
+        if self._is_complete:
+            return
+        self._bytes_without_body = 0
+        if self._head is None:
+            self._skipped_bytes += len(data)
+            return
+        self._body_chunks.append(data)
+        self._buffered_bytes += len(data)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
