--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -52,10 +52,13 @@
 ASKED_AGENTS = 4
 """Number of agents that are asked for their list of entries each time."""
 
-MAX_CONNECTIONS = 900
-"""Limit on caller connections. Up to http_protocol.MAX_EXCESS_CONNECTIONS more
-are served as well; any beyond these are aborted. Of 1,535 file descriptors 200
-are reserved for files; the rest is for connections to targets."""
+CALLER_SOCKET_SHARE = 0.675
+"""Share of the sockets that a process may open which callers may use; up to
+http_protocol.MAX_EXCESS_CONNECTIONS more are served as well, and any beyond
+these are aborted. The rest is for connections to targets."""
+
+RESERVED_FILES = 200
+"""File descriptors that are not available for sockets."""
 
 BALANCER_REMOVAL_S = 2.5
 """Time in which the load balancer in front removes a draining entry: after two
@@ -78,6 +81,14 @@
 after a rejection spends from the retry budget."""
 
 
+def max_caller_connections(max_files: int) -> int:
+    """Return how many connections of callers are accepted.
+
+    :param max_files: file descriptors that the process may open.
+    """
+    return max(1, int((max_files - RESERVED_FILES) * CALLER_SOCKET_SHARE))
+
+
 class DirectEntry:
     """The entry daemon: creates its components and runs them."""
 
@@ -141,7 +152,8 @@
         )
         self._app = app.RoutedApp(self._directory, self._freshness, handler)
         limits = http_protocol.ConnectionLimits(
-            max_connections=MAX_CONNECTIONS, body_timeout_s=15.0
+            max_connections=max_caller_connections(cfg.max_files),
+            body_timeout_s=15.0,
         )
         self._caller_server = http.HttpServer(
             [routing.Mount('/', self._app)],
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -379,19 +379,17 @@
 
         The reported pass time is compared with the engine model's for the
         same number of running requests; a slowdown of MIN_ASSUMED_SLOWDOWN is
-        assumed at least. It comes from an expert map that does not match the
-        demand and from copying weights.
+        assumed at least, also without a report: a group that has just been
+        formed has a map that does not match the demand, and all the calls that
+        have waited for it. It also comes from copying weights.
         """
         service = self._directory.services().get(record.service)
         gap_s = call.route.gap_s
-        if (
-            service is None
-            or service.engine is None
-            or not gap_s
-            or not report.pass_s
-        ):
+        if service is None or service.engine is None or not gap_s:
             return record.slots
         engine = service.engine
+        if not report.pass_s and engine.experts is None:
+            return record.slots
         expected_s = engine.pass_s(max(1, report.running))
         slowdown = max(MIN_ASSUMED_SLOWDOWN, report.pass_s / expected_s)
         sustainable = engine.sequences_within(
--- a/src/wagtailhollow/internal/hostcfg/model.py
+++ b/src/wagtailhollow/internal/hostcfg/model.py
@@ -7,6 +7,9 @@
 DEFAULT_LINK_BYTES_PER_S = 375_000.0
 """Bandwidth that is assumed if the settings state none: 3 Mbit/s."""
 
+DEFAULT_MAX_FILES = 1024
+"""File descriptors that are assumed if the settings state none."""
+
 
 @dataclasses.dataclass(frozen=True)
 class Bounds:
@@ -48,6 +51,7 @@
     :ivar internal_ports: first and last port for connections within the
         deployment.
     :ivar link_bytes_per_s: bandwidth of the host's own link.
+    :ivar max_files: file descriptors that the process may open.
     :ivar target_address: address of the engine on the same host, or empty.
     """
 
@@ -64,3 +68,4 @@
     target_service: str
     bounds: Bounds
     link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
+    max_files: int = DEFAULT_MAX_FILES
--- a/src/wagtailhollow/internal/platform/settings.py
+++ b/src/wagtailhollow/internal/platform/settings.py
@@ -60,6 +60,7 @@
         target_service=row.get('service', ''),
         bounds=_decode_bounds(row['bounds']),
         link_bytes_per_s=_decode_link(row.get('limits') or {}),
+        max_files=_decode_files(row.get('limits') or {}),
     )
 
 
@@ -72,6 +73,14 @@
     return row['link_mbps'] * _BYTES_PER_MEGABIT
 
 
+def _decode_files(row: Mapping[str, Any]) -> int:
+    """Return the file descriptors; raises ValueError."""
+    files = row.get('max_fds', model.DEFAULT_MAX_FILES)
+    if not isinstance(files, int) or files <= 0:
+        raise ValueError('limits.max_fds must be a positive integer')
+    return files
+
+
 def _decode_bounds(row: Mapping[str, Any]) -> model.Bounds:
     return model.Bounds(
         revoke_s=row['revoke_ms'] / 1000,
--- a/tests/cover/test_large_groups.py
+++ b/tests/cover/test_large_groups.py
@@ -38,9 +38,13 @@
 ]
 
 
-def run_group(case, seconds, lost):
-    """Run a group whose hosts lose datagrams but have no other fault."""
-    group = live_group.Group(case.ranks, 1, case.shape)
+def run_group(case, seconds, lost=0.0, seed=1, choose_lost=None):
+    """Run a group without faults until its map changes, then for *seconds*.
+
+    :param lost: share of datagrams that are lost.
+    :param choose_lost: returns the ranks whose agents are killed then.
+    """
+    group = live_group.Group(case.ranks, seed, case.shape)
     group.faults = live_group.Faults(lost=lost)
 
     async def work():
@@ -49,6 +53,8 @@
             await asyncio.sleep(group.rng.uniform(0, 0.6 / case.ranks))
             agent.start()
         await asyncio.sleep(LISTENING_S)
+        for number in choose_lost(group) if choose_lost else ():
+            group.agents[number].kill()
         group.dropped.clear()
         group.sent.clear()
         group.versions = group.versions[-1:]
@@ -77,28 +83,6 @@
     assert not group.dropped, 'a link was full'
 
 
-def lose_agents(case, choose, seconds):
-    """Run a group that loses the agents that *choose* returns; return it."""
-    group = live_group.Group(case.ranks, 2, case.shape)
-
-    async def work():
-        passes = asyncio.create_task(group.run_passes())
-        for agent in group.agents:
-            agent.start()
-        await asyncio.sleep(LISTENING_S)
-        for number in choose(group):
-            group.agents[number].kill()
-        group.versions = group.versions[-1:]
-        await asyncio.sleep(seconds)
-        for agent in group.agents:
-            agent.kill()
-        passes.cancel()
-        await asyncio.gather(passes, return_exceptions=True)
-
-    memory_platform.run_in_virtual_time(work)
-    return group
-
-
 def coordinator_of(group):
     return {group.terms[-1] % group_view.TERM_STRIDE}
 
@@ -134,7 +118,12 @@
     """
     case = CASES[1]
     copies_s = case.shape.moves * case.shape.copy_s
-    group = lose_agents(case, choose, takeover_s + MAX_ROUND_S + copies_s)
+    group = run_group(
+        case,
+        takeover_s + MAX_ROUND_S + copies_s,
+        seed=2,
+        choose_lost=choose,
+    )
     assert not group.mixed_steps
     assert len(group.versions) > 1, 'the map does not change'
     assert len(group.terms) == 2, 'more than one rank took over'
@@ -145,6 +134,6 @@
     """Guards against agents that send their status to the whole group."""
     sent = {}
     for case in CASES[1:3]:
-        group = run_group(case, 1.0, 0.0)
+        group = run_group(case, 1.0)
         sent[case.ranks] = group.sent['RankStatus'] / case.ranks
     assert sent[63] < 1.2 * sent[32]
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import types
 
 import pytest
@@ -52,8 +53,8 @@
     )
 
 
-def manifest_update():
-    services = {SERVICE: model.Service(SERVICE, engine=ENGINE)}
+def manifest_update(engine=ENGINE):
+    services = {SERVICE: model.Service(SERVICE, engine=engine)}
     manifest = model.Manifest(1, 1, (), services, model.CallerLimits(), None)
     return follow.Update({'main': manifest}, 1, True, False)
 
@@ -61,10 +62,10 @@
 class Entry:
     """The view of one entry on some targets, with a fake clock."""
 
-    def __init__(self, count):
+    def __init__(self, count, engine=ENGINE):
         self.now = 100.0
         directory = state.Directory(lambda: self.now)
-        directory.apply_manifest(manifest_update())
+        directory.apply_manifest(manifest_update(engine))
         records = {f'i-{n}': record(n) for n in range(count)}
         directory.apply_targets(follow.Update(records, 1, True, False))
         self.view = targets.DirectTargets(directory, clock=lambda: self.now)
@@ -141,6 +142,27 @@
     assert targets_with_capacity(entry, call())
 
 
+@pytest.mark.parametrize('is_reported', [True, False])
+def test_group_that_has_just_formed_is_not_filled_at_once(is_reported):
+    """Guards against a backlog that makes all streams of a new group late.
+
+    After all hosts lost power, calls wait until the group is open. Its first
+    map does not match the demand, so that a full batch makes passes of several
+    times the usual length, and no pass time is known yet.
+    """
+    layout = model.ExpertLayout(4, 72, 8, 3, 0.098, 0.85)
+    entry = Entry(1, dataclasses.replace(ENGINE, experts=layout))
+    running = 0
+    while running < SLOTS:
+        if is_reported:
+            entry.report(0, running, 0.0)
+        if not targets_with_capacity(entry, call()):
+            break
+        entry.view.started(record(0))
+        running += 1
+    assert SLOTS * targets.MIN_CONCURRENCY_SHARE <= running < SLOTS
+
+
 def test_target_with_overdue_reports_is_used_last():
     """Guards against a target that looks idle for lack of load reports.
 
--- a/tests/cover/test_platform_decoding.py
+++ b/tests/cover/test_platform_decoding.py
@@ -9,7 +9,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from standins import direct_deployment
 from wagtailhollow.internal.directory import changes, model
+from wagtailhollow.internal.entry.direct import compose
 from wagtailhollow.internal.platform import (
     engine,
     manifest,
@@ -242,3 +244,31 @@
 
     monkeypatch.setattr(client, '_query', answer)
     assert asyncio.run(client.report()) is None
+
+
+@pytest.mark.parametrize(
+    ('files', 'least', 'most'),
+    [(1124, 500, 700), (1535, 800, 1000), (8192, 5000, 5500)],
+)
+def test_caller_connections_follow_from_the_descriptors(files, least, most):
+    """Guards against a limit that fits the hosts of one deployment only."""
+    assert least <= compose.max_caller_connections(files) <= most
+
+
+@pytest.mark.parametrize(
+    ('limits', 'message'),
+    [({'link_mbps': 0}, 'link_mbps'), ({'max_fds': -1}, 'max_fds')],
+)
+def test_limits_of_a_host_are_checked(limits, message):
+    """Guards against a division by a bandwidth of zero."""
+    row = direct_deployment.host_settings('127.0.0.1:1', '127.0.0.1')
+    with pytest.raises(ValueError, match=message):
+        settings.decode(row | {'limits': limits})
+
+
+def test_bandwidth_and_descriptors_of_a_host_are_decoded():
+    """Guards against limits that are assumed although the settings tell."""
+    row = direct_deployment.host_settings('127.0.0.1:1', '127.0.0.1')
+    limits = {'link_mbps': 3.0, 'max_fds': 4100}
+    found = settings.decode(row | {'limits': limits})
+    assert (found.link_bytes_per_s, found.max_files) == (375_000, 4100)
