--- a/src/wagtailhollow/internal/experts/live/demand_relay.py
+++ b/src/wagtailhollow/internal/experts/live/demand_relay.py
@@ -10,7 +10,7 @@
 
 import math
 import time
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Callable, Iterable
 
 from ...datagram import messages
 from ...observability import decisions
@@ -51,26 +51,6 @@
     )
 
 
-def choose_collectors(
-    order: Sequence[int], size: int, live: Collection[int], coordinator: int
-) -> list[int]:
-    """Return the rank of each part that adds its demand up.
-
-    It is the coordinator in its own part, elsewhere the first live rank.
-
-    :param order: all ranks, in the order in which they are divided.
-    :param size: number of ranks of a part.
-    """
-    parts = [order[at : at + size] for at in range(0, len(order), size)]
-    chosen = [
-        coordinator
-        if coordinator in part
-        else next((item for item in part if item in live), None)
-        for part in parts
-    ]
-    return [item for item in chosen if item is not None]
-
-
 class DemandRelay:
     """Counts that this agent has received, of ranks and of parts."""
 
--- a/src/wagtailhollow/internal/experts/live/group_view.py
+++ b/src/wagtailhollow/internal/experts/live/group_view.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import dataclasses
 import time
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection
 
 from ...datagram import messages
-from . import model
+from . import model, roster
 
 AGENT_TIMEOUT_S = 0.7
 """Time without a status after which an agent counts as lost: two statuses to
@@ -40,19 +39,6 @@
 Status = messages.RankStatus
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Duties:
-    """Decoded roster of a coordinator.
-
-    :ivar standbys: IP addresses of the standby ranks, by rank.
-    :ivar collectors: IP addresses of the ranks that add demand up, by rank.
-    """
-
-    term: int
-    standbys: Mapping[int, str]
-    collectors: Mapping[int, str]
-
-
 class GroupView:
     """Last known status of each rank in this agent's group.
 
@@ -72,7 +58,7 @@
         self._intent: messages.Intent | None = None
         self._term = 0
         self._term_s = 0.0
-        self.roster: Duties | None = None
+        self.roster: roster.Duties | None = None
         self._roster_s = 0.0
         self.changed = asyncio.Event()
         self.addresses: dict[int, str] = {}
@@ -105,17 +91,17 @@
         self._intent = intent
         self._intent_s = now_s
 
-    def record_roster(self, duties: Duties) -> None:
+    def record_roster(self, duties: roster.Duties) -> None:
         """Record the coordinator's roster."""
         if self.roster is None or duties.term >= self.roster.term:
             self.roster, self._roster_s = duties, self._clock()
 
-    def recent_roster(self) -> Duties | None:
+    def recent_roster(self) -> roster.Duties | None:
         """Return the roster while its coordinator is alive, else None."""
-        roster = self.roster
-        if roster is None or not self._is_intent_recent(roster.term):
+        duties = self.roster
+        if duties is None or not self._is_intent_recent(duties.term):
             return None
-        return roster
+        return duties
 
     def recent_statuses(self, own: Status) -> dict[int, Status]:
         """Return the last statuses of the ranks that are alive, by rank.
@@ -173,15 +159,15 @@
         A rank that is not on standby may hear only itself. It takes over after
         it has had the time to hear from the others.
         """
-        roster = self.roster
+        duties = self.roster
         if (
-            roster is None
-            or not roster.standbys
+            duties is None
+            or not duties.standbys
             or self._clock() - self._roster_s > STANDBY_TIMEOUT_S
         ):
             return min(heard)
-        live = roster.standbys.keys() & heard
-        return min(live or roster.standbys)
+        live = duties.standbys.keys() & heard
+        return min(live or duties.standbys)
 
     def _is_intent_recent(self, term: int) -> bool:
         """Return whether the coordinator of a term has just sent an intent.
--- a/src/wagtailhollow/internal/experts/live/messenger.py
+++ b/src/wagtailhollow/internal/experts/live/messenger.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import copy
-import itertools
 import time
 import zlib
 from collections.abc import (
@@ -17,12 +16,20 @@
     Collection,
     Iterable,
     Mapping,
-    Sequence,
 )
 
 from ...datagram import endpoint, messages
 from ...observability import decisions
-from . import demand, demand_relay, group_view, model, packing, rank, spreading
+from . import (
+    demand,
+    demand_relay,
+    group_view,
+    model,
+    packing,
+    rank,
+    roster,
+    spreading,
+)
 
 POLL_PERIOD_S = 0.1
 FAST_POLL_PERIOD_S = 0.02
@@ -46,12 +53,6 @@
 """Period of the coordinator's roster; several fit into the time after which a
 rank that is not on standby may take over."""
 
-MIN_STANDBYS = 6
-"""Number of ranks, at least, that get all statuses in a large group."""
-
-SMALL_GROUP_SIZE = 16
-"""Size up to which all ranks are on standby."""
-
 LIFE_SIGN_PERIOD_S = 0.1
 """Period of the coordinator's intents to the whole group."""
 
@@ -135,9 +136,11 @@
     # Polls of the engine.
 
     async def wait_for_poll(self) -> None:
-        """Wait until the engine is to be polled again."""
+        """Wait until the engine is to be polled again.
+
+        What arrived during the last poll is not lost: it ends the wait.
+        """
         is_fast = self._clock() < self._fast_polls_until_s
-        self.poll_now.clear()
         try:
             async with asyncio.timeout(
                 FAST_POLL_PERIOD_S if is_fast else POLL_PERIOD_S
@@ -145,6 +148,8 @@
                 await self.poll_now.wait()
         except TimeoutError:
             return
+        finally:
+            self.poll_now.clear()
 
     def _poll_faster(self) -> None:
         self._fast_polls_until_s = self._clock() + FAST_POLLS_S
@@ -181,7 +186,7 @@
         ):
             return
         try:
-            self._view.record_roster(_decode_roster(message))
+            self._view.record_roster(roster.decode(message))
         except ValueError as exc:
             decisions.log('roster_unreadable', ip=ip, reason=str(exc))
 
@@ -262,48 +267,25 @@
         addresses = self._view.addresses | {report.rank: self._address}
         status = self._controller.status()
         live = self._view.recent_statuses(status).keys() & addresses.keys()
-        order = self._order(addresses)
-        collectors = demand_relay.choose_collectors(
-            order,
+        ips = {number: _ip(address) for number, address in addresses.items()}
+        by_data_centre = self._by_data_centre(ips)
+        standbys = roster.choose_standbys(by_data_centre, live)
+        collectors = roster.choose_collectors(
+            by_data_centre,
             demand_relay.part_size(
                 report.size, self._demand_bytes(), self._bytes_per_s
             ),
             live,
             report.rank,
         )
-        standbys = self._standbys(order, live)
-        message = messages.Roster(
-            term=intent.term,
-            group=intent.group,
-            epoch=intent.epoch,
-            standby_ranks=packing.pack_numbers(standbys),
-            standby_ips=endpoint.pack_ips(
-                _ip(addresses[number]) for number in standbys
-            ),
-            collector_ranks=packing.pack_numbers(collectors),
-            collector_ips=endpoint.pack_ips(
-                _ip(addresses[number]) for number in collectors
-            ),
+        message = roster.encode(
+            intent,
+            {number: ips[number] for number in standbys},
+            {number: ips[number] for number in collectors},
         )
-        self._view.record_roster(_decode_roster(message))
+        self._view.record_roster(roster.decode(message))
         self._transmit(message, self._group_ips())
 
-    def _standbys(
-        self, order: Sequence[int], live: Collection[int]
-    ) -> list[int]:
-        """Return live ranks, one of each data centre after the other."""
-        if len(order) <= SMALL_GROUP_SIZE:
-            return list(order)
-        peers = self._peers()
-        by_data_centre: dict[str, list[int]] = {}
-        for number in order:
-            if number in live:
-                ip = _ip(self._view.addresses.get(number, self._address))
-                by_data_centre.setdefault(peers.get(ip, ''), []).append(number)
-        turns = itertools.zip_longest(*by_data_centre.values())
-        ranks = [n for n in itertools.chain(*turns) if n is not None]
-        return ranks[: max(MIN_STANDBYS, len(by_data_centre))]
-
     def _obey(self, intent: messages.Intent) -> None:
         self._view.record_intent(intent)
         is_change = self._controller.accept(intent)
@@ -407,12 +389,12 @@
     def send_demand(self) -> None:
         """Send the demand of this rank, or of its part, when it is due."""
         report = self._controller.report
-        roster = self._view.recent_roster()
+        duties = self._view.recent_roster()
         if (
             report is None
             or not self._demand.size
-            or roster is None
-            or not roster.collectors
+            or duties is None
+            or not duties.collectors
         ):
             return
         now_s = self._clock()
@@ -433,7 +415,7 @@
         )
         self._demand_sent_s = now_s
         coordinator = self._view.coordinator_rank(status)
-        collectors = roster.collectors
+        collectors = duties.collectors
         is_collector = status.rank in collectors
         if not is_collector:
             self._transmit(own, (self._nearest(status.rank, collectors),))
@@ -476,19 +458,24 @@
             ranks, self._demand_bytes(), self._bytes_per_s
         )
 
-    def _order(self, addresses: Mapping[int, str]) -> list[int]:
-        """Return ranks by data centre, then by number."""
+    def _by_data_centre(self, ips: Mapping[int, str]) -> list[list[int]]:
+        """Return the ranks of each data centre, in ascending order.
+
+        :param ips: IP addresses by rank.
+        """
         peers = self._peers()
-        return sorted(
-            addresses, key=lambda n: (peers.get(_ip(addresses[n]), ''), n)
-        )
+        found: dict[str, list[int]] = {}
+        for number in sorted(ips):
+            found.setdefault(peers.get(ips[number], ''), []).append(number)
+        return [found[name] for name in sorted(found)]
 
     def _presence_ips(self) -> set[str]:
         """Return the addresses of the agents that have to know this one."""
-        roster = self._view.recent_roster()
-        if roster is None or len(self._view.addresses) <= SMALL_GROUP_SIZE:
+        duties = self._view.recent_roster()
+        is_small = len(self._view.addresses) <= roster.SMALL_GROUP_SIZE
+        if duties is None or is_small:
             return self._group_ips()
-        return set(roster.standbys.values()) - {self._ip}
+        return set(duties.standbys.values()) - {self._ip}
 
     def _status_period_s(self, size: int) -> float:
         return max(
@@ -540,24 +527,5 @@
     return set(map(_ip, addresses))
 
 
-def _decode_roster(message: messages.Roster) -> group_view.Duties:
-    """Return the roster; raises ValueError."""
-    return group_view.Duties(
-        message.term,
-        _by_rank(message.standby_ranks, message.standby_ips),
-        _by_rank(message.collector_ranks, message.collector_ips),
-    )
-
-
-def _by_rank(ranks: bytes, ips: bytes) -> dict[int, str]:
-    return dict(
-        zip(
-            packing.unpack_numbers(ranks),
-            endpoint.unpack_ips(ips),
-            strict=True,
-        )
-    )
-
-
 def _size(intent: messages.Intent) -> int:
     return INTENT_BYTES + len(intent.full_map) + len(intent.moves)
