Tell agents that start later the address of their coordinator

In groups of more than 16 ranks the coordinator's statuses go to standby ranks only, so an agent that restarted did not learn its address and sent it no experts; the coordinator then planned no map any more (test red before: 3 changes of map by then, none in the 3 s after).

--- a/deploy/hosts.thrift
+++ b/deploy/hosts.thrift
@@ -80,4 +80,5 @@
   5: binary standby_ips,
   6: binary collector_ranks,
   7: binary collector_ips,
+  8: string address,
 }
--- a/src/wagtailhollow/internal/datagram/messages.py
+++ b/src/wagtailhollow/internal/datagram/messages.py
@@ -173,6 +173,7 @@
     ('standby_ips', TType.STRING, b''),
     ('collector_ranks', TType.STRING, b''),
     ('collector_ips', TType.STRING, b''),
+    ('address', TType.STRING, ''),
 )
 class Roster(TBase.TBase):
     """Duties that the coordinator gives to ranks of its group.
@@ -183,6 +184,7 @@
     :ivar standby_ranks: ranks that get all statuses and take over if the
         coordinator is lost.
     :ivar collector_ranks: ranks that add up the demand of a part of the group.
+    :ivar address: address of the coordinator's engine.
     """
 
 
--- a/src/wagtailhollow/internal/experts/live/group_view.py
+++ b/src/wagtailhollow/internal/experts/live/group_view.py
@@ -95,6 +95,8 @@
         """Record the coordinator's roster."""
         if self.roster is None or duties.term >= self.roster.term:
             self.roster, self._roster_s = duties, self._clock()
+            if duties.address:
+                self.addresses[duties.term % TERM_STRIDE] = duties.address
 
     def recent_roster(self) -> roster.Duties | None:
         """Return the roster while its coordinator is alive, else None."""
--- a/src/wagtailhollow/internal/experts/live/messenger.py
+++ b/src/wagtailhollow/internal/experts/live/messenger.py
@@ -282,6 +282,7 @@
             intent,
             {number: ips[number] for number in standbys},
             {number: ips[number] for number in collectors},
+            self._address,
         )
         self._view.record_roster(roster.decode(message))
         self._transmit(message, self._group_ips())
--- a/src/wagtailhollow/internal/experts/live/roster.py
+++ b/src/wagtailhollow/internal/experts/live/roster.py
@@ -23,21 +23,26 @@
 
     :ivar standbys: IP addresses of the standby ranks, by rank.
     :ivar collectors: IP addresses of the ranks that add demand up, by rank.
+    :ivar address: address of the coordinator's engine. An agent that starts
+        later hears no status of the coordinator.
     """
 
     term: int
     standbys: Mapping[int, str]
     collectors: Mapping[int, str]
+    address: str = ''
 
 
 def encode(
     intent: messages.Intent,
     standbys: Mapping[int, str],
     collectors: Mapping[int, str],
+    address: str,
 ) -> messages.Roster:
     """Return the message; both mappings hold IP addresses by rank.
 
     :param intent: present intent of the coordinator.
+    :param address: address of the coordinator's engine.
     """
     return messages.Roster(
         term=intent.term,
@@ -47,6 +52,7 @@
         standby_ips=endpoint.pack_ips(standbys.values()),
         collector_ranks=packing.pack_numbers(collectors),
         collector_ips=endpoint.pack_ips(collectors.values()),
+        address=address,
     )
 
 
@@ -56,6 +62,7 @@
         message.term,
         _by_rank(message.standby_ranks, message.standby_ips),
         _by_rank(message.collector_ranks, message.collector_ips),
+        message.address,
     )
 
 
--- a/tests/cover/test_large_groups.py
+++ b/tests/cover/test_large_groups.py
@@ -137,3 +137,39 @@
         group = run_group(case, 1.0)
         sent[case.ranks] = group.sent['RankStatus'] / case.ranks
     assert sent[63] < 1.2 * sent[32]
+
+
+def test_map_changes_after_an_agent_has_restarted():
+    """Guards against a rank whose experts the coordinator never learns.
+
+    In a large group the coordinator's statuses reach only the standby ranks,
+    so an agent that starts later has to learn its address in another way.
+    """
+    case = CASES[1]
+    group = live_group.Group(case.ranks, 3, case.shape)
+    versions = []
+
+    async def work():
+        passes = asyncio.create_task(group.run_passes())
+        for agent in group.agents:
+            agent.start()
+        await asyncio.sleep(LISTENING_S)
+        others = set(range(case.ranks)) - coordinator_and_standbys(group)
+        restarted = group.agents[max(others)]
+        restarted.kill()
+        await asyncio.sleep(1.0)
+        restarted.start()
+        await asyncio.sleep(1.0)
+        versions.append(len(group.versions))
+        await asyncio.sleep(2 * MAX_ROUND_S)
+        versions.append(len(group.versions))
+        for agent in group.agents:
+            agent.kill()
+        passes.cancel()
+        await asyncio.gather(passes, return_exceptions=True)
+
+    memory_platform.run_in_virtual_time(work)
+    before, after = versions
+    assert after > before, 'the map does not change any more'
+    assert len(group.terms) == 1
+    assert not group.mixed_steps
