Answer requests that arrive while a server stops

One of the failures that operators reported: requests that had just been accepted are cut off without an answer.

Now the accept queue is emptied before the listening socket closes; a connection that had no request yet, that has unread bytes or half a head stays open for its request, which is answered with 'connection: close'. Idle connections are closed at once as before.

--- a/src/wagtailhollow/internal/daemon/http.py
+++ b/src/wagtailhollow/internal/daemon/http.py
@@ -4,14 +4,22 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterable
+import itertools
+import logging
+import socket
+from collections.abc import Callable, Iterable, Iterator
 
 import prometheus_client
 import uvicorn
 from starlette import applications, requests, responses, routing
 
+_LOG = logging.getLogger(__name__)
+
 GRACEFUL_TIMEOUT_S = 5
 FLUSH_POLL_S = 0.05
+ACCEPT_S = 0.05
+"""Time in which connections that are being accepted when the listening socket
+closes get their protocol objects."""
 
 KEEP_ALIVE_S = 75
 """Longer than load balancers keep idle connections (60 s is common). The side
@@ -50,6 +58,50 @@
     ]
 
 
+class _AcceptingServer(uvicorn.Server):
+    """Server that accepts all established connections before it stops.
+
+    Closing a listening socket resets the connections in its accept queue,
+    whose clients may have sent their requests already.
+    """
+
+    async def shutdown(
+        self, sockets: list[socket.socket] | None = None
+    ) -> None:
+        """See :class:`uvicorn.Server`."""
+        accepted = list(
+            itertools.chain.from_iterable(
+                _accept_all(listener) for listener in sockets or ()
+            )
+        )
+        for server in self.servers:
+            server.close()
+        loop = asyncio.get_running_loop()
+        for conn in accepted:
+            await loop.connect_accepted_socket(self._new_protocol, conn)
+        await asyncio.sleep(ACCEPT_S)
+        await super().shutdown(sockets)
+
+    def _new_protocol(self) -> asyncio.Protocol:
+        return self.config.http_protocol_class(
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
+
+def _accept_all(listener: socket.socket) -> Iterator[socket.socket]:
+    """Yield the connections in the accept queue of *listener*."""
+    while True:
+        try:
+            conn, _ = listener.accept()
+        except OSError:
+            # The queue is empty, or no file descriptor is left.
+            return
+        conn.setblocking(False)
+        yield conn
+
+
 class HttpServer:
     """Runs uvicorn in the daemon's event loop, without signal handlers."""
 
@@ -84,7 +136,7 @@
             timeout_graceful_shutdown=graceful_timeout_s,
             timeout_keep_alive=KEEP_ALIVE_S,
         )
-        self._server = uvicorn.Server(cfg)
+        self._server = _AcceptingServer(cfg)
         # The daemon handles signals itself, because it drains before it stops.
         self._server.capture_signals = contextlib.nullcontext
         self._task: asyncio.Task[None] | None = None
@@ -118,12 +170,16 @@
     async def stop(self) -> None:
         """Stop listening and close the connections."""
         self._server.should_exit = True
-        if self._task is not None:
-            await asyncio.gather(self._task, return_exceptions=True)
+        if self._task is None:
+            return
+        (result,) = await asyncio.gather(self._task, return_exceptions=True)
+        if isinstance(result, Exception):
+            _LOG.error('the HTTP server failed', exc_info=result)
 
     async def _serve(self) -> None:
-        try:
-            await self._server.serve()
-        except SystemExit as exc:
-            # uvicorn calls sys.exit if it cannot bind the address.
-            raise OSError('the HTTP address cannot be bound') from exc
+        cfg = self._server.config
+        listener = socket.create_server(
+            (cfg.host, cfg.port), backlog=cfg.backlog
+        )
+        listener.setblocking(False)
+        await self._server.serve([listener])
--- a/src/wagtailhollow/internal/entry/http_protocol.py
+++ b/src/wagtailhollow/internal/entry/http_protocol.py
@@ -9,6 +9,7 @@
 import asyncio
 import dataclasses
 import json
+import select
 
 from starlette import types
 from uvicorn.protocols.http import httptools_impl
@@ -22,6 +23,10 @@
 answer.
 """
 
+FIRST_REQUEST_S = 1.0
+"""Time for the first request of a connection that a stopping server keeps
+open for it; covers one retransmission."""
+
 MAX_EXCESS_CONNECTIONS = 128
 """Connections over the limit that are answered; others are aborted."""
 
@@ -74,6 +79,7 @@
         """See :class:`asyncio.Protocol`."""
         super().connection_made(transport)
         self._is_refused = False
+        self._is_stopping = False
         self._is_in_head = True
         self._head_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -121,6 +127,8 @@
         """
         self._is_in_head = False
         super().on_headers_complete()
+        if self._is_stopping:
+            self.cycle.keep_alive = False
         self._restart_timer(2 * self.limits.body_timeout_s)
 
     def on_message_complete(self) -> None:
@@ -130,10 +138,31 @@
         self._head_bytes = 0
         self._stop_timer()
 
+    def shutdown(self) -> None:
+        """Close the connection, unless a request is on its way.
+
+        A request that the kernel has received, or the first one of a
+        connection, is still answered.
+        """
+        self._is_stopping = True
+        if self.cycle is not None and not self.cycle.response_complete:
+            super().shutdown()
+        elif self._head_bytes == 0:
+            if self.cycle is not None and not self._has_unread_bytes():
+                super().shutdown()
+            elif not self._is_refused:
+                self._restart_timer(FIRST_REQUEST_S)
+
     def send_400_response(self, msg: str) -> None:
         """Answer data that is not valid HTTP."""
         self._refuse(errors.ErrorKind.BAD_REQUEST, msg)
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes or the end of the connection can be read."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info('socket'), select.POLLIN)
+        return bool(poll.poll(0))
+
     def _restart_timer(self, delay_s: float) -> None:
         self._stop_timer()
         self._timer = self.loop.call_later(delay_s, self._on_timeout)
--- a/tests/cover/test_endless_bytes.py
+++ b/tests/cover/test_endless_bytes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import pathlib
 
@@ -137,13 +138,14 @@
 
     async def run():
         async def handle(reader, writer):
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(OK + b'transfer-encoding: chunked\r\n\r\n')
-            for _ in range(100):
-                writer.write(chunk * 1_000)
+            with contextlib.closing(writer):
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(OK + b'transfer-encoding: chunked\r\n\r\n')
+                for _ in range(100):
+                    writer.write(chunk * 1_000)
+                    await writer.drain()
+                writer.write(b'0\r\n\r\n')
                 await writer.drain()
-            writer.write(b'0\r\n\r\n')
-            await writer.drain()
 
         server = await asyncio.start_server(handle, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
--- a/tests/cover/test_http1_connection.py
+++ b/tests/cover/test_http1_connection.py
@@ -37,9 +37,14 @@
 
     async def run():
         async def serve(reader, writer):
-            with contextlib.suppress(ConnectionError):
+            # An unclosed writer fails when it is collected after the loop.
+            with (
+                contextlib.closing(writer),
+                contextlib.suppress(
+                    ConnectionError, asyncio.IncompleteReadError
+                ),
+            ):
                 await script(reader, writer)
-            writer.close()
 
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
         host, port = server.sockets[0].getsockname()
