--- a/deploy/hosts.thrift
+++ b/deploy/hosts.thrift
@@ -1,7 +1,7 @@
 // Messages between hosts on the users' platform, sent as datagrams: one byte
 // with the number of the type (0 RankStatus, 1 Intent, 2 LoadReport,
 // 3 Subscribe, 4 ExpertDemand, 5 EntryList,
-// 6 Roster), then the struct in the compact protocol.
+// 6 Roster, 7 LoadBatch), then the struct in the compact protocol.
 // internal/datagram/messages.py has the same structs and explains the fields.
 
 struct RankStatus {
@@ -66,6 +66,7 @@
 struct Subscribe {
   1: string node,
   2: bool wants_entries,
+  3: bool reads_batches,
 }
 
 struct EntryList {
@@ -82,3 +83,9 @@
   7: binary collector_ips,
   8: string address,
 }
+
+struct LoadBatch {
+  1: string group,
+  2: i32 period_ms,
+  3: binary rows,
+}
--- a/src/wagtailhollow/internal/agent/direct/compose.py
+++ b/src/wagtailhollow/internal/agent/direct/compose.py
@@ -28,6 +28,7 @@
 from ...observability import decisions, lightweight_metrics
 from ...platform import engine, manifest, store
 from ...platform import targets as registrations
+from . import load_reports
 
 # The planner registers itself when imported.
 _PLANNERS = (paced,)
@@ -40,19 +41,6 @@
 change rarely. All listings may be seconds old, for which the platform charges
 a tenth of a call."""
 
-SUBSCRIPTION_S = 3.0
-COUNT_DELAY_S = 1.1
-"""Time after the start in which all entries have subscribed, which they do
-once a second. Entries divide limits by the length of the list, so that a list
-that is too short would make them exceed a limit together."""
-
-REPORT_PERIOD_S = 0.15
-MAX_REPORT_PERIOD_S = 0.5
-REPORTS_PER_S = 100.0
-"""Load reports that an agent sends a second; with more entries the period
-grows up to the maximum. Each entry then sends fewer calls between reports. A
-group that closes or opens is reported at once."""
-
 REMOTE_TIMEOUT_S = 0.15
 """Time-out for the engines of other agents: that for the local engine plus a
 round trip to another data centre."""
@@ -91,12 +79,16 @@
             cfg.target_address,
             cfg.link_bytes_per_s,
         )
+        self._load_reporter = load_reports.LoadReporter(
+            self._transmit, self._messenger.collector_ip
+        )
         handlers = {
             messages.RankStatus: self._messenger.on_status,
             messages.Intent: self._messenger.on_intent,
             messages.ExpertDemand: self._messenger.on_demand,
             messages.Roster: self._messenger.on_roster,
-            messages.Subscribe: self._on_subscribe,
+            messages.Subscribe: self._load_reporter.on_subscribe,
+            messages.LoadReport: self._load_reporter.on_report,
         }
         for message_type, handler in handlers.items():
             self._endpoint.add_handler(message_type, handler)
@@ -112,18 +104,13 @@
         self._data_centres: dict[str, str] = {}
         self._service: model.Service | None = None
         self._gap_s = 0.0
-        self._entry_expiry_s: dict[str, float] = {}
         self._demand_read_s = 0.0
-        self._load_sent_s = 0.0
-        self._reported_open = True
-        self._started_s = 0.0
         self._metrics = lightweight_metrics.LightweightMetrics()
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
         """See :class:`lifecycle.Daemon`."""
         await self._endpoint.open(self._cfg.ip, self._port)
-        self._started_s = time.monotonic()
         decisions.observers.append(self._metrics.observe)
         try:
             await self._metrics.serve(self._cfg.ip, METRICS_PORT)
@@ -180,15 +167,6 @@
     def _transmit(self, message: object, ips: Collection[str]) -> None:
         self._endpoint.send(message, ips, self._port)
 
-    def _on_subscribe(self, message: messages.Subscribe, ip: str) -> None:
-        now_s = time.monotonic()
-        self._entry_expiry_s[ip] = now_s + SUBSCRIPTION_S
-        if message.wants_entries and now_s - self._started_s >= COUNT_DELAY_S:
-            answer = messages.EntryList(
-                ips=endpoint.pack_ips(sorted(self._entry_expiry_s))
-            )
-            self._transmit(answer, (ip,))
-
     async def _list_peers(self) -> None:
         while True:
             period_s = FIRST_LISTING_PERIOD_S
@@ -258,33 +236,18 @@
 
     def _send_load(self) -> None:
         report = self._rank_controller.report
-        now_s = time.monotonic()
         if report is None:
             return
-        period_s = min(
-            MAX_REPORT_PERIOD_S,
-            max(REPORT_PERIOD_S, len(self._entry_expiry_s) / REPORTS_PER_S),
-        )
-        is_changed = report.is_open != self._reported_open
-        if now_s - self._load_sent_s < period_s and not is_changed:
-            return
-        self._load_sent_s = now_s
-        self._reported_open = report.is_open
-        self._entry_expiry_s = {
-            ip: until_s
-            for ip, until_s in self._entry_expiry_s.items()
-            if until_s > now_s
-        }
-        message = messages.LoadReport(
-            target=self._cfg.target_address,
-            running=report.running,
-            waiting=report.waiting,
-            entries=len(self._entry_expiry_s),
-            is_open=report.is_open,
-            step=report.step,
-            memory_used=report.memory_used,
-            group=report.group,
-            pass_ms=round(self._pass_time.pass_s(now_s) * 1000),
-            period_ms=round(period_s * 1000),
+        pass_s = self._pass_time.pass_s(time.monotonic())
+        self._load_reporter.send(
+            messages.LoadReport(
+                target=self._cfg.target_address,
+                running=report.running,
+                waiting=report.waiting,
+                is_open=report.is_open,
+                step=report.step,
+                memory_used=report.memory_used,
+                group=report.group,
+                pass_ms=round(pass_s * 1000),
+            )
         )
-        self._endpoint.send(message, self._entry_expiry_s, self._port)
--- a/src/wagtailhollow/internal/datagram/messages.py
+++ b/src/wagtailhollow/internal/datagram/messages.py
@@ -192,11 +192,13 @@
 @_thrift_struct(
     ('node', TType.STRING, ''),
     ('wants_entries', TType.BOOL, False),
+    ('reads_batches', TType.BOOL, False),
 )
 class Subscribe(TBase.TBase):
     """Request of an entry for load reports of an agent.
 
     :ivar wants_entries: whether to answer with an :class:`EntryList`.
+    :ivar reads_batches: whether the entry reads :class:`LoadBatch`.
     """
 
 
@@ -210,6 +212,19 @@
     """
 
 
+@_thrift_struct(
+    ('group', TType.STRING, ''),
+    ('period_ms', TType.I32, 0),
+    ('rows', TType.STRING, b''),
+)
+class LoadBatch(TBase.TBase):
+    """Load of several targets of a group, sent by an agent to the entries.
+
+    :ivar period_ms: longest time between two reports of a target.
+    :ivar rows: see :mod:`.load_rows`.
+    """
+
+
 MESSAGE_TYPES = (
     RankStatus,
     Intent,
@@ -218,4 +233,5 @@
     ExpertDemand,
     EntryList,
     Roster,
+    LoadBatch,
 )
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -10,7 +10,7 @@
 from starlette import routing
 
 from ...daemon import http, lifecycle
-from ...datagram import endpoint, messages
+from ...datagram import endpoint, load_rows, messages
 from ...directory import follow, model, state
 from ...hostcfg import model as hostcfg
 from ...http1 import pool
@@ -175,6 +175,7 @@
         self._port = cfg.internal_ports[0]
         self._endpoint = endpoint.Endpoint(messages.MESSAGE_TYPES)
         self._endpoint.add_handler(messages.LoadReport, self._on_load_report)
+        self._endpoint.add_handler(messages.LoadBatch, self._on_load_batch)
         self._endpoint.add_handler(messages.EntryList, self._on_entry_list)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -258,8 +259,10 @@
 
     async def _subscribe(self) -> None:
         """Subscribe to the agents' load reports until cancelled."""
-        message = messages.Subscribe(node=self._cfg.node)
-        asking = messages.Subscribe(node=self._cfg.node, wants_entries=True)
+        message = messages.Subscribe(node=self._cfg.node, reads_batches=True)
+        asking = messages.Subscribe(
+            node=self._cfg.node, reads_batches=True, wants_entries=True
+        )
         while True:
             self._targets_added.clear()
             ips = self._agent_ips()
@@ -297,6 +300,26 @@
                 message.period_ms / 1000,
             )
 
+    def _on_load_batch(self, message: messages.LoadBatch, ip: str) -> None:
+        try:
+            rows = load_rows.unpack(message.rows)
+        except ValueError as exc:
+            decisions.log('load_unreadable', ip=ip, reason=str(exc))
+            return
+        for row in rows:
+            record = self._directory.target_at(row.target)
+            if record is not None:
+                self._targets.record_report(
+                    record.name,
+                    row.running,
+                    row.waiting,
+                    row.is_open,
+                    message.group,
+                    row.pass_s,
+                    message.period_ms / 1000,
+                    row.age_s,
+                )
+
     def _check_key_freshness(self, call: routed_call.RoutedCall) -> None:
         """Raise Refusal if the call's key may have been withdrawn."""
         if call.is_authenticated:
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -55,6 +55,10 @@
 that is only slow gets calls: on engines that are 12 times slower than usual a
 pass takes 0.7 s, and short streams still complete."""
 
+MAX_COUNTED_STARTS = 32
+"""Last calls to a target of which the time is kept, to tell those that a load
+report does not include."""
+
 REFUSAL_PAUSE_S = 0.25
 """How long a target gets no calls after it rejected one. Its agent reports
 within 0.15 s whether its group is serving."""
@@ -69,14 +73,14 @@
 class _LoadReport:
     """The last load report of a target.
 
-    :ivar received_s: when it arrived, by the clock of the view.
+    :ivar made_s: when its agent asked the target, by the clock of the view.
     :ivar own_calls: calls of this entry that ran at the target at that time.
     :ivar is_open: whether the target's group was serving.
     :ivar pass_s: mean duration of an engine pass, 0 if unknown.
     :ivar period_s: period of the agent's reports, 0 if unknown.
     """
 
-    received_s: float
+    made_s: float
     running: int
     waiting: int
     own_calls: int
@@ -104,6 +108,7 @@
         self._directory = directory
         self._cold_limit = cold_limit
         self._cold_starts_s: dict[str, collections.deque[float]] = {}
+        self._last_starts_s: dict[str, collections.deque[float]] = {}
         self._clock = clock
         self._outstanding: collections.Counter[str] = collections.Counter()
         self._reports: dict[str, _LoadReport] = {}
@@ -187,6 +192,9 @@
     def started(self, record: model.TargetRecord) -> None:
         """Count a call that is sent to a target."""
         self._outstanding[record.name] += 1
+        self._last_starts_s.setdefault(
+            record.name, collections.deque(maxlen=MAX_COUNTED_STARTS)
+        ).append(self._clock())
         if self._directory.cold_left_s(record) > 0:
             sent = self._cold_starts_s.setdefault(
                 record.name, collections.deque()
@@ -242,6 +250,7 @@
             self._group_by_target,
             self._reports,
             self._cold_starts_s,
+            self._last_starts_s,
         ):
             for name in by_name.keys() - names:
                 del by_name[name]
@@ -264,6 +273,7 @@
         group: str = '',
         pass_s: float | None = None,
         period_s: float = 0.0,
+        age_s: float = 0.0,
     ) -> None:
         """Record a load report that was received just now.
 
@@ -271,7 +281,16 @@
         :param group: name of that group, empty if not reported.
         :param pass_s: mean duration of its passes, None if not reported.
         :param period_s: period of the reports of its agent, 0 if not reported.
+        :param age_s: age of the report; calls sent since count in addition.
         """
+        made_s = self._clock() - age_s
+        previous = self._reports.get(name)
+        if age_s and previous is not None and previous.made_s > made_s:
+            # The header of a response has told a later load.
+            self._reports[name] = dataclasses.replace(
+                previous, pass_s=pass_s or 0.0, period_s=period_s
+            )
+            return
         if pass_s is None:
             previous = self._fresh_report(name)
             pass_s = previous.pass_s if previous else 0.0
@@ -279,15 +298,20 @@
         if group:
             self._group_by_target[name] = group
         self._reports[name] = _LoadReport(
-            self._clock(),
+            made_s,
             running,
             waiting,
-            self._outstanding[name],
+            max(0, self._outstanding[name] - self._starts_since(name, made_s)),
             is_open,
             pass_s,
             period_s,
         )
 
+    def _starts_since(self, name: str, since_s: float) -> int:
+        return sum(
+            start_s > since_s for start_s in self._last_starts_s.get(name, ())
+        )
+
     def _has_cold_capacity(self, record: model.TargetRecord) -> bool:
         """Return whether the limit for cold targets permits another call."""
         service = self._directory.services().get(record.service)
@@ -353,7 +377,7 @@
             REPORT_OVERDUE_PERIODS
             * (report.period_s or DEFAULT_REPORT_PERIOD_S),
         )
-        return self._clock() - report.received_s > overdue_s
+        return self._clock() - report.made_s > overdue_s
 
     def pass_s(self, record: model.TargetRecord) -> float:
         """Return the pass time that an agent reports, 0 if not known."""
@@ -362,10 +386,7 @@
 
     def _fresh_report(self, name: str) -> _LoadReport | None:
         report = self._reports.get(name)
-        if (
-            report is None
-            or self._clock() - report.received_s > MAX_REPORT_AGE_S
-        ):
+        if report is None or self._clock() - report.made_s > MAX_REPORT_AGE_S:
             return None
         return report
 
--- a/src/wagtailhollow/internal/experts/live/messenger.py
+++ b/src/wagtailhollow/internal/experts/live/messenger.py
@@ -432,6 +432,22 @@
         if address:
             self._transmit(total, (endpoint.ip_of(address),))
 
+    def collector_ip(self) -> str:
+        """Return the address of the agent that collects for this one.
+
+        Empty if there is none, or this rank is a collector itself.
+        """
+        report = self._controller.report
+        duties = self._view.recent_roster()
+        if (
+            report is None
+            or duties is None
+            or not duties.collectors
+            or report.rank in duties.collectors
+        ):
+            return ''
+        return self._nearest(report.rank, duties.collectors)
+
     def _nearest(self, own_rank: int, collectors: Mapping[int, str]) -> str:
         """Return a collector's address, of the own data centre if possible."""
         peers = self._peers()
