Give signs of life while planning and tell the end of a switch at once

The last that the standby ranks know is a phase of the switch, in which 0.3 s without an intent count as a loss. The coordinator then plans in another thread without sending, and signs of life to 96 ranks are 0.25 s apart.

The coordinator publishes while it plans, announces the idle phase like any other, and in between sends a sign to the standby ranks each 0.1 s.

--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -31,8 +31,14 @@
 import math
 import random
 import time
-from collections.abc import Callable, Collection, Mapping, Sequence
-from typing import Protocol
+from collections.abc import (
+    Awaitable,
+    Callable,
+    Collection,
+    Mapping,
+    Sequence,
+)
+from typing import Any, Protocol
 
 from ...datagram import messages
 from ...observability import decisions
@@ -172,6 +178,7 @@
         demand_counts: Callable[[], Sequence[float]],
         rng: random.Random | None = None,
         max_inline_plan_ranks: int = MAX_INLINE_PLAN_RANKS,
+        run_in_thread: Callable[..., Awaitable[Any]] = asyncio.to_thread,
     ) -> None:
         """Create a coordinator.
 
@@ -182,6 +189,7 @@
             all layers, summed over the group; empty if not known.
         :param max_inline_plan_ranks: size of the largest group whose maps are
             planned on the event loop.
+        :param run_in_thread: calls a function in another thread.
         """
         self._controller = controller
         self._view = view
@@ -192,6 +200,7 @@
         self._demand_counts = demand_counts
         self._rng = rng or random.Random()
         self._max_inline_plan_ranks = max_inline_plan_ranks
+        self._run_in_thread = run_in_thread
         self._intent: messages.Intent | None = None
         self._moves_only: messages.Intent | None = None
         self._direct_controllers: dict[int, rank.RankController] = {}
@@ -614,9 +623,7 @@
         if len(statuses) <= self._max_inline_plan_ranks:
             plan = self._plan(statuses)
         else:
-            # Planning a large map on the event loop would delay statuses.
-            plan = await asyncio.to_thread(self._plan, statuses)
-            self._ensure_coordinator()
+            plan = await self._plan_in_thread(statuses)
         if plan is None:
             return
         version = self._next_version(statuses)
@@ -649,6 +656,29 @@
             switch_s=round(loop.time() - prepared_s, 3),
         )
 
+    async def _plan_in_thread(
+        self, statuses: Mapping[int, Status]
+    ) -> planner.Plan | None:
+        """Plan a large map without delaying messages.
+
+        The intent is repeated meanwhile, as a sign of life.
+
+        :raises CoordinationLost: this agent may no longer coordinate.
+        """
+        planning = asyncio.ensure_future(
+            self._run_in_thread(self._plan, statuses)
+        )
+        try:
+            while not planning.done():
+                self._publisher.publish(self._intent, ())
+                await asyncio.wait(
+                    {planning}, timeout=self._publisher.resend_period_s(0)
+                )
+                self._ensure_coordinator()
+            return planning.result()
+        finally:
+            planning.cancel()
+
     async def _switch(self, version: int) -> None:
         loop = asyncio.get_running_loop()
         step = self._own_status().step + self._lookahead_steps(loop.time())
--- a/src/wagtailhollow/internal/experts/live/messenger.py
+++ b/src/wagtailhollow/internal/experts/live/messenger.py
@@ -55,7 +55,8 @@
 rank that is not on standby may take over."""
 
 LIFE_SIGN_PERIOD_S = 0.1
-"""Period of the coordinator's intents to the whole group."""
+"""Period of the coordinator's intents: to the whole group in a change of the
+map, otherwise to the standby ranks."""
 
 RESEND_PERIOD_S = 0.05
 """Period of intents to ranks that have not complied."""
@@ -129,6 +130,7 @@
         self._is_status_wanted = False
         self._demand_sent_s = 0.0
         self._life_sign_s = 0.0
+        self._standby_sign_s = 0.0
         self._roster_sent_s = 0.0
         self._announced: tuple[int, int] | None = None
         self._map_key: tuple[int, int] | None = None
@@ -229,10 +231,15 @@
         is_due = now_s - self._life_sign_s >= self._life_sign_period_s(is_idle)
         brief = without_map(intent)
         ips = _ips(lagging) - {self._ip}
-        if is_due or (key != self._announced and not is_idle):
+        if is_due or key != self._announced:
             self._announced = key
-            self._life_sign_s = now_s
+            self._life_sign_s = self._standby_sign_s = now_s
             self._transmit(brief, self._group_ips() - ips)
+        elif now_s - self._standby_sign_s >= LIFE_SIGN_PERIOD_S:
+            # A standby rank that has missed the end of a switch takes over
+            # sooner than the period of the whole group allows.
+            self._standby_sign_s = now_s
+            self._transmit(brief, self._presence_ips() - ips)
         if ips:
             brief.wants_status = True
             self._transmit(brief, ips)
--- a/standins/live_group.py
+++ b/standins/live_group.py
@@ -15,6 +15,7 @@
 import enum
 import random
 from collections.abc import Callable, Collection, Sequence
+from typing import Any
 
 from wagtailhollow.internal.daemon import lifecycle
 from wagtailhollow.internal.datagram import endpoint, messages
@@ -343,8 +344,8 @@
             ),
             self.messenger.demand_counts,
             group.rng,
-            # The simulated clock goes on while another thread plans.
-            max_inline_plan_ranks=group.size,
+            max_inline_plan_ranks=0 if group.plan_s else group.size,
+            run_in_thread=group.run_in_thread,
         )
         self._tasks = [
             lifecycle.create_background_task(self._run_controller()),
@@ -423,6 +424,8 @@
     :ivar sent: number of messages sent, by type.
     :ivar dropped: number of messages lost at a full link, by type.
     :ivar terms: terms of coordinators, in order.
+    :ivar plan_s: time that planning takes in another thread; with 0 it is
+        done on the event loop.
     """
 
     def __init__(
@@ -447,6 +450,14 @@
         self.sent = collections.Counter()
         self.dropped = collections.Counter()
         self.terms: list[int] = []
+        self.plan_s = 0.0
+
+    async def run_in_thread(
+        self, function: Callable[..., Any], *args: Any
+    ) -> Any:
+        """Call a function after the simulated time that planning takes."""
+        await asyncio.sleep(self.plan_s)
+        return function(*args)
 
     def initial_row(self, number: int) -> list[int]:
         """Return the experts of a rank in a layer of the first map.
--- a/tests/cover/test_large_groups.py
+++ b/tests/cover/test_large_groups.py
@@ -38,13 +38,15 @@
 ]
 
 
-def run_group(case, seconds, lost=0.0, seed=1, disturb=None):
+def run_group(case, seconds, lost=0.0, seed=1, disturb=None, plan_s=0.0):
     """Run a group without faults until its map changes, then for *seconds*.
 
     :param lost: share of datagrams that are lost.
     :param disturb: awaited with the group in between.
+    :param plan_s: time that the coordinator plans in another thread.
     """
     group = live_group.Group(case.ranks, seed, case.shape)
+    group.plan_s = plan_s
     group.faults = live_group.Faults(lost=lost)
 
     async def work():
@@ -83,6 +85,24 @@
     assert not group.dropped, 'a link was full'
 
 
+@pytest.mark.parametrize('plan_s', [0.1, 0.5])
+def test_coordinator_that_plans_is_not_replaced(plan_s):
+    """Guards against a takeover just after a switch.
+
+    The standby ranks then know of the switch only, in which a coordinator
+    without a sign of life counts as lost after 0.3 s. Planning and the period
+    of signs to a large group take about as long.
+    """
+    case = CASES[3]
+    copies_s = case.shape.moves * case.shape.copy_s
+    seconds = 3.0 * (MAX_ROUND_S + plan_s + copies_s)
+    group = run_group(case, seconds, lost=0.01, seed=4, plan_s=plan_s)
+    assert not group.mixed_steps
+    assert len(group.terms) == 1, 'another rank has taken over'
+    assert len(group.versions) > 2, 'the map changes too slowly'
+    assert not group.dropped, 'a link was full'
+
+
 def coordinator_of(group):
     return {group.terms[-1] % group_view.TERM_STRIDE}
 
