Take no answer without a request id on a used connection

Cause, one of the failures that operators reported: a server sends an answer a second time, late, on a connection that is in use again. Entries matched ids, but accepted an answer without one; agents of the product's own deployment reuse connections whose answers nothing identifies.

An entry aborts such a connection, and the call counts as possibly run; on a connection's first request an answer without an id is still accepted. Agents open a connection, on their own host, for each request.

--- a/src/wagtailhollow/internal/agent/backends/http_call.py
+++ b/src/wagtailhollow/internal/agent/backends/http_call.py
@@ -88,7 +88,9 @@
     def session(self) -> aiohttp.ClientSession:
         """Return the session, created on first use in the event loop."""
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0)
+            # A late second copy of an answer would be taken for the answer to
+            # the next request on its connection.
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
             self._session = aiohttp.ClientSession(
                 connector=connector,
                 auto_decompress=False,
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -215,6 +215,7 @@
             return
         if self._keeps_alive and self._is_framed:
             self._state = _State.IDLE
+            self._had_responses = True
             self._request_id = b''
             self.idle_since_s = asyncio.get_running_loop().time()
         else:
@@ -328,6 +329,10 @@
         # A response with another id is a late response to an earlier request
         # on this connection; the expected one may follow.
         response_id = head.get(REQUEST_ID_HEADER)
+        if self._request_id and not response_id and self._had_responses:
+            # It may be a second copy of an earlier response.
+            self._abort('response without a request id on a used connection')
+            return
         self._is_skipped = bool(
             self._request_id
             and response_id
