Refuse a request whose body does not arrive by the deadline of the call

The call's time counts from the head of the request now, and 408 says truthfully that nothing has run.

--- a/src/wagtailhollow/internal/entry/call.py
+++ b/src/wagtailhollow/internal/entry/call.py
@@ -41,8 +41,8 @@
     :ivar deadline_s: monotonic time by which the answer has to be complete.
     :ivar max_attempts: how many targets may execute the call.
     :ivar max_wait_s: longest wait for a target.
-    :ivar arrived_s: monotonic time at which this object was created, after the
-        whole body had been read.
+    :ivar arrived_s: monotonic time at which the head of the request was
+        known, or else the whole body.
     :ivar execution: what is known of the execution; mutable.
     """
 
--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -133,9 +133,7 @@
         rows = scope['headers']
         route = self._route(scope)
         organisation = self._organisation(manifest, route, rows)
-        body = await requests.read_body(
-            receive, manifest.limits.max_body_bytes
-        )
+        arrived_s = time.monotonic()
         deadline = connection.first_header(rows, headers.DEADLINE)
         allowed_s = route.timeout_s
         is_caller_retry = False
@@ -145,6 +143,9 @@
             is_caller_retry = self._caller_timeouts.is_caller_retry(
                 route.name, caller_timeout_s
             )
+        body = await _read_body(
+            receive, manifest.limits.max_body_bytes, allowed_s
+        )
         service_name = _choose_service(route)
         return routed_call.RoutedCall(
             call_id=call_id,
@@ -159,7 +160,8 @@
             must_not_repeat=not route.may_repeat,
             tokens=0,
             prefix='',
-            deadline_s=time.monotonic() + allowed_s,
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + allowed_s,
             max_attempts=route.max_attempts,
             max_wait_s=caller_timeouts.max_wait_s(route),
             route=route,
@@ -222,6 +224,24 @@
         await work
 
 
+async def _read_body(
+    receive: requests.Receive, limit: int, allowed_s: float
+) -> bytes:
+    """Return the body; raises SLOW_SENDER if it is late for any answer.
+
+    :param allowed_s: time until the deadline of the call.
+    """
+    try:
+        async with asyncio.timeout(allowed_s):
+            return await requests.read_body(receive, limit)
+    except TimeoutError as exc:
+        raise errors.Refusal(
+            errors.ErrorKind.SLOW_SENDER,
+            f'the body did not arrive within the {allowed_s:.1f} s that the '
+            'call had',
+        ) from exc
+
+
 def _target_path(scope: requests.Scope) -> bytes:
     query = scope['query_string']
     return scope['raw_path'] + (b'?' + query if query else b'')
--- a/tests/cover/test_direct_entry.py
+++ b/tests/cover/test_direct_entry.py
@@ -328,6 +328,34 @@
     run_scenario(scenario)
 
 
+def test_body_that_never_ends_is_refused_at_the_deadline():
+    """Guards against requests that send a byte now and then for ever."""
+
+    async def scenario(site):
+        async def dribble():
+            while True:
+                yield b'x'
+                await asyncio.sleep(0.05)
+
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        async with site.session.post(
+            f'http://{site.ip}:8227/once/p',
+            data=dribble(),
+            headers={
+                'Host': direct_deployment.HOST_NAME,
+                'X-Request-Id': 'r1',
+                'X-Key': direct_deployment.API_KEY,
+                'X-Deadline-Ms': '500',
+            },
+        ) as resp:
+            assert resp.status == 408
+        assert 0.4 < loop.time() - start_s < 1.5
+        assert site.request_count(direct_deployment.PLAIN_SERVICE) == 0
+
+    run_scenario(scenario)
+
+
 def test_withdrawn_data_centre_gets_no_calls():
     """Guards against calls to a withdrawn data centre."""
 
