--- a/src/wagtailhollow/internal/experts/live/messenger.py
+++ b/src/wagtailhollow/internal/experts/live/messenger.py
@@ -32,6 +32,11 @@
 )
 
 POLL_PERIOD_S = 0.1
+LARGE_GROUP_POLL_PERIOD_S = 0.15
+"""Period of engine polls, and that in groups of more than
+:data:`roster.SMALL_GROUP_SIZE` ranks, whose agents together make thousands of
+polls a second. It is the shortest period of load reports."""
+
 FAST_POLL_PERIOD_S = 0.02
 """Period of engine polls after an intent that differs from the one before, as
 long as the engine is given orders. It is short because the coordinator waits
@@ -154,7 +159,7 @@
         )
         try:
             async with asyncio.timeout(
-                FAST_POLL_PERIOD_S if is_fast else POLL_PERIOD_S
+                FAST_POLL_PERIOD_S if is_fast else self._poll_period_s()
             ):
                 await self.poll_now.wait()
         except TimeoutError:
@@ -162,6 +167,12 @@
         finally:
             self.poll_now.clear()
 
+    def _poll_period_s(self) -> float:
+        report = self._controller.report
+        if report is not None and report.size > roster.SMALL_GROUP_SIZE:
+            return LARGE_GROUP_POLL_PERIOD_S
+        return POLL_PERIOD_S
+
     def _poll_faster(self) -> None:
         self._fast_polls_until_s = self._clock() + FAST_POLLS_S
         self.poll_now.set()
--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -29,6 +29,7 @@
 HOST_NAME = 'a.example'
 API_KEY = 'key-1'
 EVENT_COUNT = 8
+DRIBBLE_PAUSE_S = 0.2
 SIGNATURE_HEADER = 'x-engine-signature'
 
 
@@ -162,7 +163,8 @@
     event of a stream), ``torn`` (the stream ends in the middle of an event,
     but its framing is complete), ``hang`` (no answer until the client
     disconnects), ``bare`` (no signature header), ``busy`` (503 that does not
-    say whether the call ran).
+    say whether the call ran), ``dribble`` (after half of the events a stream
+    sends a byte of a comment now and then).
 
     :ivar gap_s: time between two events of a stream.
     """
@@ -262,6 +264,9 @@
                 req.scope['abort_connection']()
                 return
             yield event
+            while behaviour == 'dribble' and number == EVENT_COUNT // 2:
+                yield b':'
+                await asyncio.sleep(DRIBBLE_PAUSE_S)
             await asyncio.sleep(self.gap_s)
 
 
--- a/tests/cover/test_load_reports.py
+++ b/tests/cover/test_load_reports.py
@@ -312,20 +312,22 @@
 
 
 @pytest.mark.parametrize(
-    ('gives_orders', 'period_s'),
+    ('gives_orders', 'ranks', 'period_s'),
     [
-        (True, messenger.FAST_POLL_PERIOD_S),
-        (False, messenger.POLL_PERIOD_S),
+        (True, 1, messenger.FAST_POLL_PERIOD_S),
+        (True, 96, messenger.FAST_POLL_PERIOD_S),
+        (False, 1, messenger.POLL_PERIOD_S),
+        (False, 96, messenger.LARGE_GROUP_POLL_PERIOD_S),
     ],
 )
 def test_engine_is_polled_fast_only_while_it_gets_orders(
-    gives_orders, period_s
+    gives_orders, ranks, period_s
 ):
     """Guards against hundreds of agents that poll without need in a switch."""
 
     async def run():
         loop = asyncio.get_running_loop()
-        report = types.SimpleNamespace(group='g', epoch=1, rank=0, size=1)
+        report = types.SimpleNamespace(group='g', epoch=1, rank=0, size=ranks)
         controller = types.SimpleNamespace(
             report=report, gave_order=gives_orders, accept=lambda intent: True
         )
