--- a/src/wagtailhollow/internal/agent/direct/load_reports.py
+++ b/src/wagtailhollow/internal/agent/direct/load_reports.py
@@ -97,23 +97,17 @@
         self._batch_readers &= entries
         report.entries = len(entries)
         collected = self._recent_reports(report.group, now_s)
-        collector = self._collector_ip() if self._is_batched() else ''
-        if is_changed:
-            period_s = self._period_s()
+        period_s = self._period_s()
+        single_readers = entries - self._batch_readers
+        if is_changed or not self._is_batched():
             self._send_alone(report, entries, period_s)
-        elif collected and self._is_batched():
-            period_s = self._period_s()
+        elif collected:
             self._send_batch(report, collected, now_s)
-            self._send_alone(report, entries - self._batch_readers, period_s)
-        elif collector:
+            self._send_alone(report, single_readers, period_s)
+        elif collector := self._collector_ip():
+            self._send_alone(report, {collector} | single_readers, period_s)
             period_s = REPORT_PERIOD_S
-            self._send_alone(
-                report,
-                {collector} | (entries - self._batch_readers),
-                self._period_s(),
-            )
         else:
-            period_s = self._period_s()
             self._send_alone(report, entries, period_s)
         # Keeps the mean period although the engine is polled less often.
         self._due_s = max(self._due_s + period_s, now_s)
