--- a/src/wagtailhollow/internal/platform/settings.py
+++ b/src/wagtailhollow/internal/platform/settings.py
@@ -87,7 +87,11 @@
     default = model.Bounds()
 
     def seconds(name: str, default_s: float) -> float:
-        return row[name] / 1000 if name in row else default_s
+        if name not in row:
+            return default_s
+        if row[name] <= 0:
+            raise ValueError(f'bounds.{name} must be positive')
+        return row[name] / 1000
 
     return model.Bounds(
         revoke_s=row['revoke_ms'] / 1000,
--- a/src/wagtailhollow/internal/platform/store.py
+++ b/src/wagtailhollow/internal/platform/store.py
@@ -93,17 +93,23 @@
         query: dict[str, str | int] = {}
         while True:
             page = await self._store.get(self._kind, query | self._stale_query)
+            last_query = query
             for item in page.get('items', ()):
                 name, document = self._decode_object(item)
                 if document is not None:
                     documents[name] = document
-                query = {'after': name}
+                if name:
+                    query = {'after': name}
             # The revision of the first page, so that the first watch returns
             # the changes made while the pages were read.
             if revision is None:
                 revision = int(page['store_revision'])
             if not page.get('has_more'):
                 return changes.Listing(documents, revision)
+            if query == last_query:
+                raise changes.SourceUnavailable(
+                    f'{self._kind}: no object of a page has a readable name'
+                )
 
     async def watch(self, revision: int, wait_s: float) -> changes.Changes[T]:
         """See :meth:`changes.ChangeSource.watch`."""
@@ -122,13 +128,16 @@
         # Objects written by other clients may have any structure.
         try:
             metadata = item['metadata']
-            name, revision = metadata['name'], int(metadata['revision'])
-        except (KeyError, TypeError, ValueError) as exc:
+            name = metadata['name']
+            if not isinstance(name, str):
+                raise TypeError(f'the name is {type(name).__name__}')
+        except (KeyError, TypeError) as exc:
             decisions.log(
                 'object_unreadable', kind=self._kind, reason=repr(exc)
             )
             return '', None
         try:
+            revision = int(metadata['revision'])
             return name, self._decode(name, revision, item['spec'])
         except (
             KeyError,
--- a/src/wagtailhollow/internal/wire/pool.py
+++ b/src/wagtailhollow/internal/wire/pool.py
@@ -41,6 +41,7 @@
         self._handlers = handlers
         self._heartbeat = heartbeat
         self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._additional_tasks: set[asyncio.Task[None]] = set()
         self._connections: dict[str, connection.PeerConnection] = {}
         self._addresses: set[str] = set()
 
@@ -90,8 +91,10 @@
         separate task reads from it until it is closed.
         """
         conn = await self._connect(address)
+        # The event loop keeps no reference to a task.
         task = asyncio.create_task(conn.run())
-        task.add_done_callback(lambda _: None)
+        self._additional_tasks.add(task)
+        task.add_done_callback(self._additional_tasks.discard)
         return conn
 
     async def stop(self) -> None:
--- a/tests/cover/test_platform_decoding.py
+++ b/tests/cover/test_platform_decoding.py
@@ -196,6 +196,29 @@
     assert listing.revision == 5
 
 
+def test_unreadable_end_of_a_page_does_not_repeat_it():
+    """Guards against reading the same page for ever."""
+    broken = {'metadata': {'name': 'i-2', 'revision': None}, 'spec': SERVER}
+    third = {'metadata': {'name': 'i-3', 'revision': 4}, 'spec': SERVER}
+    client, listing = read(
+        {
+            'items': [*items(SERVER), broken, {'metadata': None}],
+            'has_more': True,
+            'store_revision': 5,
+        },
+        {'items': [third], 'store_revision': 9},
+    )
+    assert sorted(listing.documents) == ['i-1', 'i-3']
+    assert client.queries == [{}, {'after': 'i-2'}]
+
+
+def test_page_without_readable_names_ends_the_listing():
+    """Guards against the same with a page of nothing but such objects."""
+    page = {'items': [{'metadata': {}}], 'has_more': True, 'store_revision': 5}
+    with pytest.raises(changes.SourceUnavailable):
+        read(*[page] * 5)
+
+
 def test_watch_distinguishes_removed_from_changed():
     """Guards against calls to a target that has deregistered."""
     gone = {'metadata': {'name': 'i-2', 'revision': 7}, 'spec': SERVER}
@@ -272,3 +295,27 @@
     limits = {'link_mbps': 3.0, 'max_fds': 4100}
     found = settings.decode(row | {'limits': limits})
     assert (found.link_bytes_per_s, found.max_files) == (375_000, 4100)
+
+
+def test_bounds_of_the_deployment_are_decoded():
+    """Guards against watches that are too long for a bound."""
+    row = direct_deployment.host_settings(
+        '127.0.0.1:1',
+        '127.0.0.1',
+        stable_window_ms=5000,
+        config_apply_ms=4000,
+        drain_ms=3000,
+        evacuate_ms=6000,
+    )
+    bounds = settings.decode(row).bounds
+    assert (bounds.settle_s, bounds.apply_s) == (5.0, 4.0)
+    assert (bounds.drain_s, bounds.withdraw_s) == (3.0, 6.0)
+
+
+def test_bounds_are_checked():
+    """Guards against a watch of a negative time."""
+    row = direct_deployment.host_settings(
+        '127.0.0.1:1', '127.0.0.1', drain_ms=0
+    )
+    with pytest.raises(ValueError, match='drain_ms'):
+        settings.decode(row)
