Enforce the regions that a route or an organisation allows

Targets in data centres of other or unknown regions are left out; if route and organisation both name regions, both bind.

--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -170,6 +170,7 @@
             is_authenticated=organisation is not None,
             priority=_priority(route, organisation),
             is_caller_retry=is_caller_retry,
+            regions=_allowed_regions(route, organisation),
         )
 
     def _route(self, scope: requests.Scope) -> model.Route:
@@ -255,6 +256,21 @@
     return route.priority
 
 
+def _allowed_regions(
+    route: model.Route, organisation: model.Organisation | None
+) -> frozenset[str] | None:
+    """Return the regions that may serve a call, None if all may.
+
+    If both the route and the organisation name regions, both bind.
+    """
+    named = [
+        frozenset(item.regions)
+        for item in (route, organisation)
+        if item is not None and item.regions
+    ]
+    return frozenset.intersection(*named) if named else None
+
+
 def _choose_service(route: model.Route) -> str:
     if len(route.shares) == 1:
         return route.shares[0].service
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -133,7 +133,7 @@
             cfg.ip, lambda: len(self._directory.all_targets())
         )
         self._targets = targets.DirectTargets(
-            self._directory, self._cold_limit
+            self._directory, self._cold_limit, regions=cfg.regions
         )
         handler = calls.CallHandler(
             attempts.HttpAttemptRunner(
--- a/src/wagtailhollow/internal/entry/direct/routed_call.py
+++ b/src/wagtailhollow/internal/entry/direct/routed_call.py
@@ -21,6 +21,7 @@
         its shorter deadline.
     :ivar priority: priority of the organisation, or else of the route; 0 is
         the highest.
+    :ivar regions: regions that may serve the call; None means all.
     """
 
     route: model.Route = None
@@ -29,6 +30,7 @@
     is_authenticated: bool = False
     priority: int = 0
     is_caller_retry: bool = False
+    regions: frozenset[str] | None = None
 
     @property
     def is_stream(self) -> bool:
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -6,7 +6,8 @@
 import dataclasses
 import math
 import time
-from collections.abc import Callable
+import types
+from collections.abc import Callable, Mapping
 
 from .... import errors
 from ...directory import model, state
@@ -103,14 +104,17 @@
             [model.Service, model.TargetRecord], float
         ] = lambda service, record: math.inf,
         clock: Callable[[], float] = time.monotonic,
+        regions: Mapping[str, str] = types.MappingProxyType({}),
     ) -> None:
         """Create a view of the targets in *directory*.
 
         :param cold_limit: returns how many calls per second this entry may
             send to a cold target of a service.
+        :param regions: region of each data centre.
         """
         self._directory = directory
         self._cold_limit = cold_limit
+        self._regions = regions
         self._cold_starts_s: dict[str, collections.deque[float]] = {}
         self._last_starts_s: dict[str, collections.deque[float]] = {}
         self._clock = clock
@@ -371,7 +375,14 @@
                 and self._group_by_target.get(record.name) not in stalled
             ]
             self._available_by_service[call.service_name] = (now_s, records)
-        return records
+        if call.regions is None:
+            return records
+        # A data centre of an unknown region serves no call that is bound.
+        return [
+            record
+            for record in records
+            if self._regions.get(record.data_centre) in call.regions
+        ]
 
     def _stalled_groups(self) -> set[str]:
         """Return the groups that are stalled.
--- a/tests/cover/test_direct_targets.py
+++ b/tests/cover/test_direct_targets.py
@@ -15,7 +15,9 @@
 from wagtailhollow.internal.routing import power_of_two
 
 ROUTE = types.SimpleNamespace(gap_s=0.12)
-CALL = types.SimpleNamespace(service_name=SERVICE, is_late=False, route=ROUTE)
+CALL = types.SimpleNamespace(
+    service_name=SERVICE, is_late=False, route=ROUTE, regions=None
+)
 
 
 class Deployment:
@@ -129,7 +131,7 @@
     deployment = Deployment(entries=1, count=1)
     (entry,) = deployment.entries
     late = types.SimpleNamespace(
-        service_name=SERVICE, is_late=True, route=ROUTE
+        service_name=SERVICE, is_late=True, route=ROUTE, regions=None
     )
     capacity = {}
     for running in range(SLOTS + 1):
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -49,7 +49,10 @@
 
 def call(is_late=False, **fields):
     return types.SimpleNamespace(
-        service_name=SERVICE, is_late=is_late, route=route(**fields)
+        service_name=SERVICE,
+        is_late=is_late,
+        route=route(**fields),
+        regions=None,
     )
 
 
