--- a/src/wagtailhollow/internal/experts/live/messenger.py
+++ b/src/wagtailhollow/internal/experts/live/messenger.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import copy
-import random
 import time
 import zlib
 from collections.abc import (
@@ -33,16 +32,6 @@
 )
 
 POLL_PERIOD_S = 0.1
-LARGE_GROUP_POLL_PERIOD_S = 0.15
-"""Period of engine polls, and that in groups of more than
-:data:`roster.SMALL_GROUP_SIZE` ranks, whose agents together make thousands of
-polls a second. It is the shortest period of load reports."""
-
-POLL_SPREAD = (0.67, 1.33)
-"""Range of random factors of the period in large groups. An intent makes all
-agents poll at the same moment; if they went on together, their statuses would
-fill the coordinator's link."""
-
 FAST_POLL_PERIOD_S = 0.02
 """Period of engine polls after an intent that differs from the one before, as
 long as the engine is given orders. It is short because the coordinator waits
@@ -135,7 +124,6 @@
         self._sent_s = 0.0
         # Agents that start together would otherwise send at the same time.
         self._phase = zlib.crc32(address.encode()) / (1 << 32)
-        self._rng = random.Random(address)
         self._presence_sent_s = clock() - self._phase * PRESENCE_PERIOD_S
         self._detail_key: tuple | None = None
         self._detail_due_s = 0.0
@@ -166,7 +154,7 @@
         )
         try:
             async with asyncio.timeout(
-                FAST_POLL_PERIOD_S if is_fast else self._poll_period_s()
+                FAST_POLL_PERIOD_S if is_fast else POLL_PERIOD_S
             ):
                 await self.poll_now.wait()
         except TimeoutError:
@@ -174,13 +162,6 @@
         finally:
             self.poll_now.clear()
 
-    def _poll_period_s(self) -> float:
-        report = self._controller.report
-        if report is not None and report.size > roster.SMALL_GROUP_SIZE:
-            factor = self._rng.uniform(*POLL_SPREAD)
-            return LARGE_GROUP_POLL_PERIOD_S * factor
-        return POLL_PERIOD_S
-
     def _poll_faster(self) -> None:
         self._fast_polls_until_s = self._clock() + FAST_POLLS_S
         self.poll_now.set()
--- a/tests/cover/test_load_reports.py
+++ b/tests/cover/test_load_reports.py
@@ -317,7 +317,7 @@
         (True, 1, messenger.FAST_POLL_PERIOD_S),
         (True, 96, messenger.FAST_POLL_PERIOD_S),
         (False, 1, messenger.POLL_PERIOD_S),
-        (False, 96, messenger.LARGE_GROUP_POLL_PERIOD_S),  # and its spread
+        (False, 96, messenger.POLL_PERIOD_S),
     ],
 )
 def test_engine_is_polled_fast_only_while_it_gets_orders(
@@ -349,6 +349,6 @@
         start_s = loop.time()
         assert start_s < messenger.FAST_POLL_PERIOD_S
         await agent.wait_for_poll()
-        assert loop.time() - start_s == pytest.approx(period_s, rel=0.35)
+        assert loop.time() - start_s == pytest.approx(period_s, rel=0.2)
 
     memory_platform.run_in_virtual_time(run)
