Use one piece for load rows, collectors and the test server; no change

Found in the re-read: reports and batches of load were recorded and converted in two places each, the choice of a collector stood twice in the messenger, the shutdown of a connection was nested deeper than needed, and the tests of late second answers had a server loop of their own beside that of test_http1_connection. Checks and assertions are unchanged.

--- a/src/wagtailhollow/internal/agent/direct/load_reports.py
+++ b/src/wagtailhollow/internal/agent/direct/load_reports.py
@@ -150,14 +150,7 @@
         now_s: float,
     ) -> None:
         rows = [
-            load_rows.LoadRow(
-                item.target,
-                item.running,
-                item.waiting,
-                item.is_open,
-                item.pass_ms / 1000,
-                now_s - received_s,
-            )
+            load_rows.row_of(item, now_s - received_s)
             for received_s, item in [(now_s, own), *collected]
         ]
         longest_s = self._period_s() + REPORT_PERIOD_S
--- a/src/wagtailhollow/internal/datagram/load_rows.py
+++ b/src/wagtailhollow/internal/datagram/load_rows.py
@@ -11,6 +11,8 @@
 import struct
 from collections.abc import Iterable
 
+from . import messages
+
 _ROW = struct.Struct('<4sHHH?HH')
 """Address and port, running and waiting calls, whether the group is open, pass
 time and age in ms."""
@@ -36,6 +38,18 @@
     age_s: float
 
 
+def row_of(report: messages.LoadReport, age_s: float = 0.0) -> LoadRow:
+    """Return the row for a report of one target."""
+    return LoadRow(
+        report.target,
+        report.running,
+        report.waiting,
+        report.is_open,
+        report.pass_ms / _MS,
+        age_s,
+    )
+
+
 def pack(rows: Iterable[LoadRow]) -> bytes:
     """Encode rows; raises OSError or ValueError for an invalid address."""
     return b''.join(map(_pack_row, rows))
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -288,17 +288,8 @@
         self._shares.record_list(ip, endpoint.unpack_ips(message.ips))
 
     def _on_load_report(self, message: messages.LoadReport, ip: str) -> None:
-        record = self._directory.target_at(message.target)
-        if record is not None:
-            self._targets.record_report(
-                record.name,
-                message.running,
-                message.waiting,
-                message.is_open,
-                message.group,
-                message.pass_ms / 1000,
-                message.period_ms / 1000,
-            )
+        row = load_rows.row_of(message)
+        self._record_load(row, message.group, message.period_ms)
 
     def _on_load_batch(self, message: messages.LoadBatch, ip: str) -> None:
         try:
@@ -307,18 +298,23 @@
             decisions.log('load_unreadable', ip=ip, reason=str(exc))
             return
         for row in rows:
-            record = self._directory.target_at(row.target)
-            if record is not None:
-                self._targets.record_report(
-                    record.name,
-                    row.running,
-                    row.waiting,
-                    row.is_open,
-                    message.group,
-                    row.pass_s,
-                    message.period_ms / 1000,
-                    row.age_s,
-                )
+            self._record_load(row, message.group, message.period_ms)
+
+    def _record_load(
+        self, row: load_rows.LoadRow, group: str, period_ms: int
+    ) -> None:
+        record = self._directory.target_at(row.target)
+        if record is not None:
+            self._targets.record_report(
+                record.name,
+                row.running,
+                row.waiting,
+                row.is_open,
+                group,
+                row.pass_s,
+                period_ms / 1000,
+                row.age_s,
+            )
 
     def _check_key_freshness(self, call: routed_call.RoutedCall) -> None:
         """Raise Refusal if the call's key may have been withdrawn."""
--- a/src/wagtailhollow/internal/entry/http_protocol.py
+++ b/src/wagtailhollow/internal/entry/http_protocol.py
@@ -145,13 +145,14 @@
         connection, is still answered.
         """
         self._is_stopping = True
-        if self.cycle is not None and not self.cycle.response_complete:
+        had_requests = self.cycle is not None
+        if had_requests and (
+            not self.cycle.response_complete
+            or (self._head_bytes == 0 and not self._has_unread_bytes())
+        ):
             super().shutdown()
-        elif self._head_bytes == 0:
-            if self.cycle is not None and not self._has_unread_bytes():
-                super().shutdown()
-            elif not self._is_refused:
-                self._restart_timer(FIRST_REQUEST_S)
+        elif self._head_bytes == 0 and not self._is_refused:
+            self._restart_timer(FIRST_REQUEST_S)
 
     def send_400_response(self, msg: str) -> None:
         """Answer data that is not valid HTTP."""
--- a/src/wagtailhollow/internal/experts/live/messenger.py
+++ b/src/wagtailhollow/internal/experts/live/messenger.py
@@ -432,12 +432,11 @@
         )
         self._demand_sent_s = now_s
         coordinator = self._view.coordinator_rank(status)
-        collectors = duties.collectors
-        is_collector = status.rank in collectors
-        if not is_collector:
-            self._transmit(own, (self._nearest(status.rank, collectors),))
+        collector_ip = self.collector_ip()
+        if collector_ip:
+            self._transmit(own, (collector_ip,))
         total = self._relay.part_sum(
-            own, is_collector, demand_relay.MAX_AGE_PERIODS * period_s
+            own, not collector_ip, demand_relay.MAX_AGE_PERIODS * period_s
         )
         if total is None:
             return
--- a/tests/cover/test_late_second_answers.py
+++ b/tests/cover/test_late_second_answers.py
@@ -6,11 +6,9 @@
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
-
 import pytest
 
+from tests.cover.test_http1_connection import run_with_server
 from wagtailhollow.internal.agent.backends import http_call
 from wagtailhollow.internal.http1 import connection
 
@@ -36,24 +34,18 @@
     def __init__(self, echoes_ids, own_answers=True):
         self._echoes_ids = echoes_ids
         self._own_answers = own_answers
-        self.requests = 0
 
     async def serve(self, reader, writer):
         first = b''
-        with (
-            contextlib.closing(writer),
-            contextlib.suppress(ConnectionError, asyncio.IncompleteReadError),
-        ):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                self.requests += 1
-                if first:
-                    writer.write(first)
-                    if not self._own_answers:
-                        continue
-                own = self._answer_to(head)
-                first = first or own
-                writer.write(own)
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            if first:
+                writer.write(first)
+                if not self._own_answers:
+                    continue
+            own = self._answer_to(head)
+            first = first or own
+            writer.write(own)
 
     def _answer_to(self, head):
         request_id = SECOND_ID if SECOND_ID in head else FIRST_ID
@@ -63,13 +55,7 @@
 
 
 def run_with(server, work):
-    async def run():
-        listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
-        host, port = listener.sockets[0].getsockname()
-        async with listener, asyncio.timeout(5):
-            return await work(f'{host}:{port}')
-
-    return asyncio.run(run())
+    return run_with_server(server.serve, work)
 
 
 def request(request_id):
