Log the status of an attempt's answer and whether its target leaves

The hypotheses on DRAIN could not be told apart: the line of an attempt had neither the status nor the header Server-Leaving. No decision changes.

--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -37,6 +37,8 @@
 """Period of the check whether the load reports of an unresponsive target are
 overdue; shorter than the agents' report period of 0.15 s."""
 
+_IS_LEAVING = b'1'
+
 _NOT_FORWARDED = frozenset(
     {
         b'connection',
@@ -136,6 +138,8 @@
                 outstanding=attempt.candidate.outstanding,
                 load=round(attempt.candidate.load, 2),
                 result=result,
+                status=exchange.head and exchange.head.status,
+                is_leaving=exchange.is_leaving,
                 events=exchange.position.events,
                 waited_s=round(start_s - attempt.call.arrived_s, 3),
                 head_s=exchange.head_s and round(exchange.head_s - start_s, 3),
@@ -195,17 +199,26 @@
         self.call: routed_call.RoutedCall = attempt.call
         self.record = record
         self.is_sent = False
+        self.head: connection.Head | None = None
         self.head_s: float | None = None
         self._response_sink = response_sink
         self.position = response_sink.position
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the target has answered that it is leaving."""
+        return (
+            self.head is not None
+            and self.head.get(headers.LEAVING) == _IS_LEAVING
+        )
+
     async def run(
         self, conn: connection.HttpConnection, view: targets.DirectTargets
     ) -> None:
         """Send the request and relay the response."""
         try:
             self.is_sent = True
-            head = await self._fetch_head(conn, view)
+            head = self.head = await self._fetch_head(conn, view)
             self.head_s = time.monotonic()
             view.record_load_header(self.record, head.get(headers.LOAD))
             self._raise_if_refused(head, view)
--- a/src/wagtailhollow/internal/platform/headers.py
+++ b/src/wagtailhollow/internal/platform/headers.py
@@ -16,6 +16,9 @@
 """Target whose state caused the refusal: the responding one or another rank of
 its group."""
 
+LEAVING = b'server-leaving'
+"""``1`` in all answers of a target that is about to leave."""
+
 LOAD = b'x-engine-load'
 """Running requests, waiting requests and slots, separated by commas."""
 
