--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -167,11 +167,13 @@
     sends a byte of a comment now and then).
 
     :ivar gap_s: time between two events of a stream.
+    :ivar is_leaving: whether all answers say that the engine is leaving.
     """
 
     def __init__(self, name: str, service: str) -> None:
         self.name = name
         self.service = service
+        self.is_leaving = False
         self.behaviours: list[str] = []
         self.received: list[ReceivedRequest] = []
         self.gap_s = 0.0
@@ -209,6 +211,8 @@
         )
         self.received.append(received)
         echo = {'x-request-id': received.request_id}
+        if self.is_leaving:
+            echo['server-leaving'] = '1'
         if behaviour == 'shed':
             return responses.Response(
                 status_code=503, headers=echo | {'x-not-executed': '1'}
