Send no more calls to a target that has said that it is leaving

Callers saw: their calls reached a target after it had answered, to the same entry, that it is leaving (DRAIN); such a call is lost if the target ends.

Cause: a leaving target was known from its registration only. The header of its answers was not read, so that a silent, slow or compacted store, a cut, or a target that never registers that it leaves left it in use: up to 4.2 s with keys, for ever on public routes.

Ruled out: calls under way (the target is checked again after the wait for a connection), and a registration that comes back (held by the start of the target; an old one changed nothing before, as nothing was known).

The head of every answer is read, failures too, and the directory keeps the start of the target as leaving. A registration, a listing or a lapse does not take that back, a later start does. All reads of ready targets go through the directory, so that choice, waiting calls, retries and resumed streams follow.

--- a/src/wagtailhollow/internal/directory/state.py
+++ b/src/wagtailhollow/internal/directory/state.py
@@ -15,6 +15,9 @@
 of the store.
 """
 
+MAX_LEAVING = 4096
+"""Starts of targets that are remembered as leaving, the last ones."""
+
 
 class Directory:
     """The manifest, withdrawals and targets in force."""
@@ -27,6 +30,7 @@
         self._lapsed_until_by_name: dict[str, float] = {}
         self._received_s: dict[tuple[str, int], float] = {}
         self._removals_deferred_until_s = 0.0
+        self._leaving: dict[tuple[str, int], None] = {}
         self.manifest: model.Manifest | None = None
         self.withdrawn: frozenset[str] = frozenset()
         self.target_listeners: list[Callable[[], None]] = []
@@ -85,6 +89,22 @@
                 self._register(record, now_s)
         self._notify_listeners()
 
+    def mark_leaving(self, record: model.TargetRecord) -> None:
+        """Let a target get no more calls, as it has said that it is leaving.
+
+        Its registration may be older than that and does not change it, even
+        if it ends and comes back; only a later start of the target does.
+        """
+        if record.incarnation in self._leaving:
+            return
+        self._leaving[record.incarnation] = None
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        decisions.log(
+            'target_leaving', target=record.name, started_ms=record.started_ms
+        )
+        self._notify_listeners()
+
     def route(self, host: str, path: str) -> model.Route | None:
         """Return the route with the longest matching prefix, or None."""
         return next(
@@ -134,6 +154,7 @@
         now_s = self._clock()
         return (
             record.state is model.TargetState.READY
+            and record.incarnation not in self._leaving
             and record.data_centre not in self.withdrawn
             and self._lapsed_until_by_name.get(record.name, now_s) >= now_s
         )
@@ -188,6 +209,9 @@
         if self._name_by_address.get(record.address) == name:
             del self._name_by_address[record.address]
         self._received_s.pop(record.incarnation, None)
+        if not record.started_ms:
+            # The next start of this target cannot be told from this one.
+            self._leaving.pop(record.incarnation, None)
 
     def _remove_or_mark_lapsed(self, name: str, now_s: float) -> None:
         until_s = self._lapsed_until_by_name.get(
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -221,6 +221,8 @@
             head = self.head = await self._fetch_head(conn, view)
             self.head_s = time.monotonic()
             view.record_load_header(self.record, head.get(headers.LOAD))
+            if self.is_leaving:
+                view.mark_leaving(self.record)
             self._raise_if_refused(head, view)
             if self.call.is_stream and head.status == 200:
                 await self._relay_stream(conn, head, view)
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -241,6 +241,10 @@
             pause_s=pause_s,
         )
 
+    def mark_leaving(self, record: model.TargetRecord) -> None:
+        """Exclude a target that has said that it is leaving."""
+        self._directory.mark_leaving(record)
+
     def pause_group(self, record: model.TargetRecord) -> None:
         """Exclude all targets of a group briefly because it is not serving."""
         group = self._group_by_target.get(record.name)
--- a/tests/cover/test_directory.py
+++ b/tests/cover/test_directory.py
@@ -94,6 +94,41 @@
     assert directory.ready('i') is None
 
 
+def test_lapse_does_not_bring_a_leaving_target_back(directory, now):
+    """Guards against calls to a leaving target around an outage."""
+    directory.apply_targets(update({'i': target('i')}, is_listing=True))
+    directory.mark_leaving(target('i'))
+    directory.apply_targets(update({}, is_listing=True, after_outage=True))
+    assert directory.ready('i') is None
+    now[0] += state.LAPSE_GRACE_S + 1
+    directory.apply_targets(update({}, is_listing=True))
+    directory.apply_targets(update({'i': target('i')}))
+    assert directory.ready('i') is None
+    directory.apply_targets(update({'i': target('i', started_ms=2)}))
+    assert directory.ready('i') is not None
+
+
+def test_target_of_unknown_start_gets_calls_after_it_left(directory):
+    """Guards against a restarted target that gets no calls any more."""
+    directory.apply_targets(update({'i': target('i', started_ms=0)}))
+    directory.mark_leaving(target('i', started_ms=0))
+    directory.apply_targets(update({'i': None}))
+    directory.apply_targets(update({'i': target('i', started_ms=0)}))
+    assert directory.ready('i') is not None
+
+
+def test_number_of_remembered_leaving_targets_is_bounded(directory):
+    """Guards against memory that grows with every target that leaves."""
+    directory.apply_targets(update({'i': target('i', started_ms=7)}))
+    for started_ms in range(state.MAX_LEAVING + 8):
+        directory.mark_leaving(target('i', started_ms=started_ms))
+    assert len(directory._leaving) == state.MAX_LEAVING
+    # Of the last ones none is dropped.
+    last = target('i', started_ms=state.MAX_LEAVING + 7)
+    directory.apply_targets(update({'i': last}))
+    assert directory.ready('i') is None
+
+
 def test_target_that_registers_again_within_the_grace_period_stays(
     directory, now
 ):
