Log why an attempt failed and the shared parts of its prompt

The hypotheses on the targets that end one after the other could not be told apart: the line of an attempt named neither its failure nor the prompt. The header is decoded in platform/, the last part left out, as it is a session's own. No decision changes.

--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -11,7 +11,7 @@
 from ...directory import model, state
 from ...http1 import connection
 from ...observability import decisions
-from ...platform import headers
+from ...platform import headers, prompts
 from ...table import model as table_model
 from .. import calls, requests
 from . import attempts, caller_timeouts, freshness, routed_call
@@ -170,6 +170,9 @@
             is_authenticated=organisation is not None,
             priority=_priority(route, organisation),
             is_caller_retry=is_caller_retry,
+            prompt_parts=prompts.shared_parts(
+                connection.first_header(rows, headers.PROMPT_PREFIX)
+            ),
             regions=_allowed_regions(route, organisation),
         )
 
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -37,6 +37,9 @@
 """Period of the check whether the load reports of an unresponsive target are
 overdue; shorter than the agents' report period of 0.15 s."""
 
+LOGGED_PARTS = 8
+"""Parts of a prompt that the log line of a failed attempt names."""
+
 _IS_LEAVING = b'1'
 
 _NOT_FORWARDED = frozenset(
@@ -115,11 +118,16 @@
         start_s = time.monotonic()
         self._targets.started(record)
         result = 'failed'
+        failure = {}
         try:
             await self._run(exchange)
             result = 'answered'
         except AttemptFailed as exc:
             result = exc.refusal.kind.value
+            failure = {
+                'reason': exc.refusal.message,
+                'parts': attempt.call.prompt_parts[:LOGGED_PARTS],
+            }
             if exc.phase is not Phase.REFUSED:
                 attempt.call.execution.may_have_run = True
             self._targets.failed(record, exc)
@@ -144,6 +152,7 @@
                 waited_s=round(start_s - attempt.call.arrived_s, 3),
                 head_s=exchange.head_s and round(exchange.head_s - start_s, 3),
                 took_s=round(time.monotonic() - start_s, 3),
+                **failure,
             )
 
     async def _run(self, exchange: _Exchange) -> None:
--- a/src/wagtailhollow/internal/entry/direct/routed_call.py
+++ b/src/wagtailhollow/internal/entry/direct/routed_call.py
@@ -21,6 +21,8 @@
         its shorter deadline.
     :ivar priority: priority of the organisation, or else of the route; 0 is
         the highest.
+    :ivar prompt_parts: ids of the parts of the prompt that other calls may
+        share, in order.
     :ivar regions: regions that may serve the call; None means all.
     """
 
@@ -30,6 +32,7 @@
     is_authenticated: bool = False
     priority: int = 0
     is_caller_retry: bool = False
+    prompt_parts: tuple[str, ...] = ()
     regions: frozenset[str] | None = None
 
     @property
--- a/src/wagtailhollow/internal/platform/headers.py
+++ b/src/wagtailhollow/internal/platform/headers.py
@@ -22,4 +22,7 @@
 LOAD = b'x-engine-load'
 """Running requests, waiting requests and slots, separated by commas."""
 
+PROMPT_PREFIX = b'x-prompt-prefix'
+"""Parts of the prompt, see :mod:`.prompts`."""
+
 LAST_EVENT_ID = b'last-event-id'
--- a/tests/cover/test_platform_decoding.py
+++ b/tests/cover/test_platform_decoding.py
@@ -15,6 +15,7 @@
 from wagtailhollow.internal.platform import (
     engine,
     manifest,
+    prompts,
     settings,
     store,
     targets,
@@ -319,3 +320,25 @@
     )
     with pytest.raises(ValueError, match='drain_ms'):
         settings.decode(row)
+
+
+@pytest.mark.parametrize(
+    ('value', 'parts'),
+    [
+        (b'5c1e07a2:800,91bd3f06:410,e4402b7d:250', ('5c1e07a2', '91bd3f06')),
+        (b'5c1e07a2:800, 91bd3f06 ,5c1e07a2:1,x:2', ('5c1e07a2', '91bd3f06')),
+        (b',:7,a:1,,b:1', ('a',)),
+        (b'e4402b7d:250', ()),
+        (b'', ()),
+        (b'\xff\x00:1,b:1', ('\xff\x00',)),
+    ],
+)
+def test_last_part_of_a_prompt_is_not_shared(value, parts):
+    """Guards against judging a session's own part like a shared one."""
+    assert prompts.shared_parts(value) == parts
+
+
+def test_number_of_prompt_parts_is_bounded():
+    """Guards against a header that makes each call expensive."""
+    value = b','.join(b'%x:1' % number for number in range(5000))
+    assert len(prompts.shared_parts(value)) == prompts.MAX_PARTS
