--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -18,6 +18,7 @@
 import aiohttp
 from starlette import applications, requests, responses, routing
 
+from wagtailhollow.internal.datagram import endpoint, messages
 from wagtailhollow.internal.entry.direct import compose
 from wagtailhollow.internal.platform import settings
 
@@ -30,6 +31,8 @@
 API_KEY = 'key-1'
 EVENT_COUNT = 8
 DRIBBLE_PAUSE_S = 0.2
+HEAD_TO_CRASH_S = 0.02
+INTERNAL_PORT = 7340
 SIGNATURE_HEADER = 'x-engine-signature'
 
 
@@ -61,6 +64,13 @@
         self._server.force_exit = True
         await asyncio.gather(self._task, return_exceptions=True)
 
+    def crash(self) -> None:
+        """Refuse connections and abort the open ones, at once and for good."""
+        for listener in self._server.servers:
+            listener.close()
+        for conn in list(self._server.server_state.connections):
+            conn.transport.abort()
+
 
 class ObjectStore:
     """Fake object store with watches and faults.
@@ -168,12 +178,17 @@
 
     :ivar gap_s: time between two events of a stream.
     :ivar is_leaving: whether all answers say that the engine is leaving.
+    :ivar crash_part: part of a prompt on which the engine sends the head of a
+        stream and then crashes, or empty.
+    :ivar is_crashed: whether it has crashed.
     """
 
     def __init__(self, name: str, service: str) -> None:
         self.name = name
         self.service = service
         self.is_leaving = False
+        self.crash_part = ''
+        self.is_crashed = False
         self.behaviours: list[str] = []
         self.received: list[ReceivedRequest] = []
         self.gap_s = 0.0
@@ -258,6 +273,12 @@
     async def _events(
         self, req: requests.Request, received: ReceivedRequest, behaviour: str
     ) -> AsyncIterator[bytes]:
+        prompt = received.headers.get('x-prompt-prefix', '')
+        if self.crash_part and f'{self.crash_part}:' in prompt:
+            await asyncio.sleep(HEAD_TO_CRASH_S)
+            self.is_crashed = True
+            self.server.crash()
+            return
         first = int(received.headers.get('last-event-id', 0)) + 1
         for number in range(first, EVENT_COUNT + 1):
             event = encoded_event(number)
@@ -339,7 +360,7 @@
         'zone': 'dc-1',
         'region': 'region-1',
         'zones': {'dc-1': 'region-1'},
-        'internal_ports': [7340, 7355],
+        'internal_ports': [INTERNAL_PORT, INTERNAL_PORT + 15],
         'listen': {'front': f'{ip}:8227', 'readiness': f'{ip}:8220'},
         'platform': {'address': store},
         'bounds': bounds | fields,
@@ -347,16 +368,26 @@
 
 
 class DirectDeployment:
-    """An object store, two engines of each service, and one entry."""
+    """An object store, engines of two services, and entries.
 
-    def __init__(self) -> None:
+    :ivar ip: address of the first entry.
+    :ivar entry: the first entry.
+    """
+
+    def __init__(self, engines: int = 2, entries: int = 1) -> None:
+        """Create the parts.
+
+        :param engines: number of engines of each service.
+        """
         self.store = ObjectStore()
         self.engines = [
             Engine(f'i-{service}-{number}', service)
             for service in (MODEL_SERVICE, PLAIN_SERVICE)
-            for number in (1, 2)
+            for number in range(1, engines + 1)
         ]
-        self.ip = unused_ip()
+        self.ips = [unused_ip() for _ in range(entries)]
+        self.ip = self.ips[0]
+        self.entries: list[compose.DirectEntry] = []
         self.session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> DirectDeployment:
@@ -366,19 +397,41 @@
         for engine in self.engines:
             await engine.server.start()
             self.store.put('servers', engine.name, engine.registration())
-        row = host_settings(self.store.server.address, self.ip)
-        self.entry = compose.DirectEntry(settings.decode(row))
-        await self.entry.start()
+        for ip in self.ips:
+            await self.start_entry(ip)
+        self.entry = self.entries[0]
         self.session = aiohttp.ClientSession(auto_decompress=False)
+        for ip in self.ips:
+            await self.wait_until_ready(ip)
+        return self
+
+    async def start_entry(self, ip: str) -> None:
+        """Start an entry without waiting until it is ready."""
+        row = host_settings(self.store.server.address, ip)
+        entry = compose.DirectEntry(settings.decode(row))
+        self.entries.append(entry)
+        await entry.start()
+
+    async def wait_until_ready(self, ip: str) -> None:
+        """Wait until the entry at an address serves calls."""
         async with asyncio.timeout(5):
-            while await self.readiness() != 200:
+            while await self.readiness(ip) != 200:
                 await asyncio.sleep(0.02)
-        return self
+
+    async def list_entries(self) -> None:
+        """Tell all entries of each other, as an agent does."""
+        agent = endpoint.Endpoint(messages.MESSAGE_TYPES)
+        await agent.open(unused_ip(), INTERNAL_PORT)
+        message = messages.EntryList(ips=endpoint.pack_ips(self.ips))
+        agent.send(message, self.ips, INTERNAL_PORT)
+        await asyncio.sleep(0.05)
+        agent.close()
 
     async def __aexit__(self, *exc: object) -> None:
         """Stop all parts."""
         await self.session.close()
-        await self.entry.stop()
+        for entry in self.entries:
+            await entry.stop()
         for engine in self.engines:
             await engine.server.stop()
         await self.store.server.stop()
@@ -396,9 +449,9 @@
         """Return the number of requests to the engines of a service."""
         return sum(len(engine.received) for engine in self.engines_of(service))
 
-    async def readiness(self) -> int:
-        """Return the HTTP status of the entry's readiness path."""
-        url = f'http://{self.ip}:8220/readyz'
+    async def readiness(self, ip: str = '') -> int:
+        """Return the HTTP status of an entry's readiness path."""
+        url = f'http://{ip or self.ip}:8220/readyz'
         async with self.session.get(url) as resp:
             return resp.status
 
@@ -408,11 +461,15 @@
         request_id: str = 'r1',
         key: str = API_KEY,
         path: str = 'p',
+        ip: str = '',
         **headers: str,
     ):
-        """Send a caller's request; use as a context manager."""
+        """Send a caller's request; use as a context manager.
+
+        :param ip: address of the entry, the first one if it is empty.
+        """
         return self.session.post(
-            f'http://{self.ip}:8227/{route}/{path}',
+            f'http://{ip or self.ip}:8227/{route}/{path}',
             data=json.dumps({'n': 1}),
             headers={
                 'Host': HOST_NAME,
