Hold prompts that crash targets, at all entries from the first crash on

Callers saw: a call with one part of a prompt crashed its target; its retry crashed the next one, and each further call with that part another. Each crash stops a group for 3 s, so that half of all calls were late, cut or refused.

Cause: nothing related the end of a target to the calls that it was answering. A lost answer counted against the target alone, and the call was sent again.

Ruled out: overrun of the second group by resumed streams (no target ended without such a call).

The parts that were never answered are held together at once, other entries are told, and those that have seen an answer on one of them release it. Weak evidence needs three crashes. A target that goes on, or leaves, is no evidence. After 30 s or more one call tries again, for all entries together.

--- a/deploy/hosts.thrift
+++ b/deploy/hosts.thrift
@@ -89,3 +89,22 @@
   2: i32 period_ms,
   3: binary rows,
 }
+
+struct PromptSuspect {
+  1: string service,
+  2: string parts,
+  3: string crash_id,
+  4: i32 evidence,
+}
+
+struct PromptHold {
+  1: string service,
+  2: string parts,
+  3: i32 crashes,
+  4: i32 left_ms,
+}
+
+struct PromptAnswered {
+  1: string service,
+  2: string parts,
+}
--- a/src/wagtailhollow/errors.py
+++ b/src/wagtailhollow/errors.py
@@ -44,6 +44,7 @@
     ANSWER_INCOMPLETE = 'answer_incomplete'
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     ENGINE_FAILED = 'engine_failed'
+    PROMPT_HELD = 'prompt_held'
     SLOW_SENDER = 'slow_sender'
     PROTOCOL_VERSION = 'protocol_version'
     BAD_FRAME = 'bad_frame'
@@ -120,6 +121,7 @@
     ErrorKind.ANSWER_INCOMPLETE: Answer(502, _MAY_HAVE_RUN, Retry.LATER),
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, _MAY_HAVE_RUN, Retry.LATER),
     ErrorKind.ENGINE_FAILED: Answer(502, _MAY_HAVE_RUN, Retry.LATER),
+    ErrorKind.PROMPT_HELD: Answer(503, _NOT_RUN, Retry.LATER),
     ErrorKind.SLOW_SENDER: Answer(408, _NOT_RUN, Retry.LATER),
     ErrorKind.PROTOCOL_VERSION: Answer(426, _NOT_RUN, Retry.NO),
     ErrorKind.BAD_FRAME: Answer(400, _NOT_RUN, Retry.NO),
--- a/src/wagtailhollow/internal/datagram/messages.py
+++ b/src/wagtailhollow/internal/datagram/messages.py
@@ -225,6 +225,43 @@
     """
 
 
+@_thrift_struct(
+    ('service', TType.STRING, ''),
+    ('parts', TType.STRING, ''),
+    ('crash_id', TType.STRING, ''),
+    ('evidence', TType.I32, 0),
+)
+class PromptSuspect(TBase.TBase):
+    """A call that a target had when it ended, sent between entries.
+
+    :ivar parts: ids of the suspected parts of its prompt, separated by commas.
+    :ivar crash_id: names the target that ended and its start.
+    :ivar evidence: see :class:`..entry.direct.prompt_holds.Evidence`.
+    """
+
+
+@_thrift_struct(
+    ('service', TType.STRING, ''),
+    ('parts', TType.STRING, ''),
+    ('crashes', TType.I32, 0),
+    ('left_ms', TType.I32, 0),
+)
+class PromptHold(TBase.TBase):
+    """Parts of prompts that no call may have together, between entries.
+
+    :ivar crashes: number of crashes that the parts explain.
+    :ivar left_ms: time until one call may try again.
+    """
+
+
+@_thrift_struct(
+    ('service', TType.STRING, ''),
+    ('parts', TType.STRING, ''),
+)
+class PromptAnswered(TBase.TBase):
+    """Suspected parts on which targets have written answers."""
+
+
 MESSAGE_TYPES = (
     RankStatus,
     Intent,
@@ -234,4 +271,7 @@
     EntryList,
     Roster,
     LoadBatch,
+    PromptSuspect,
+    PromptHold,
+    PromptAnswered,
 )
--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -120,13 +120,16 @@
         claimed: ClaimedCallHandler | None,
         max_wait_s: float,
         rules: RetryRules | None = None,
+        screen: Callable[[call_module.Call], None] = lambda call: None,
     ) -> None:
         """Create a handler.
 
         :param claimed: handles the calls that must run at most once; None if
             they are not retried after an answer was lost.
         :param max_wait_s: longest wait for a target that is not full.
+        :param screen: raises Refusal for a call that no target may get.
         """
+        self._screen = screen
         self._runner = runner
         self._targets = targets
         self._claimed = claimed
@@ -154,8 +157,9 @@
         """Return the target for the next attempt.
 
         :raises Refusal: NO_TARGET if no target is in service, OVERLOADED if
-            all of them have been tried or are full.
+            all of them have been tried or are full, or what ``screen`` raises.
         """
+        self._screen(call)
         await self._wait_for_available_target(call)
         candidates = self._targets.candidates(call)
         untried = [
@@ -192,6 +196,7 @@
             and loop.time() < until_s
         ):
             await asyncio.sleep(TARGET_POLL_INTERVAL_S)
+            self._screen(call)
 
     def attempt(
         self,
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -14,7 +14,15 @@
 from ...observability import decisions
 from ...platform import headers
 from ..attempt import Attempt, AttemptFailed, Phase
-from . import caller_timeouts, events, routed_call, sink, targets
+from . import (
+    caller_timeouts,
+    ended_targets,
+    events,
+    prompt_holds,
+    routed_call,
+    sink,
+    targets,
+)
 
 T = TypeVar('T')
 
@@ -92,15 +100,21 @@
         self,
         connections: pool.ConnectionPool,
         view: targets.DirectTargets,
+        holds: prompt_holds.PromptHolds,
         check: Callable[[routed_call.RoutedCall], None],
     ) -> None:
         """Create a runner.
 
+        :param holds: learns which prompts are answered and which are suspects
+            of the end of a target.
         :param check: raises Refusal if the call must not be sent now.
         """
         self._connections = connections
         self._targets = view
+        self._holds = holds
         self._check = check
+        self._ended = ended_targets.EndedTargets()
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def run(
         self, attempt: Attempt, response_sink: sink.DirectSink
@@ -114,7 +128,7 @@
                 'the registration of the target is gone',
             )
         response_sink.set_data_centre(record.data_centre)
-        exchange = _Exchange(attempt, record, response_sink)
+        exchange = _Exchange(attempt, record, response_sink, self._holds)
         start_s = time.monotonic()
         self._targets.started(record)
         result = 'failed'
@@ -131,6 +145,7 @@
             if exc.phase is not Phase.REFUSED:
                 attempt.call.execution.may_have_run = True
             self._targets.failed(record, exc)
+            await self._report_crash(exchange)
             raise
         except asyncio.CancelledError:
             result = 'cancelled'
@@ -155,6 +170,33 @@
                 **failure,
             )
 
+    async def _report_crash(self, exchange: _Exchange) -> None:
+        """Record a call as a suspect if its target has ended.
+
+        A retry of a call that its target had begun waits for the verdict. A
+        target that leaves ends by itself.
+        """
+        if (
+            not exchange.is_suspect
+            or self._targets.current(exchange.record.name) is None
+        ):
+            return
+        task = asyncio.create_task(self._judge(exchange))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        if exchange.is_begun:
+            await asyncio.shield(task)
+
+    async def _judge(self, exchange: _Exchange) -> None:
+        record = exchange.record
+        if await self._ended.has_ended(record):
+            self._holds.record_crash(
+                record.service,
+                exchange.call.prompt_parts,
+                f'{record.name}/{record.started_ms}',
+                exchange.is_begun,
+            )
+
     async def _run(self, exchange: _Exchange) -> None:
         record = exchange.record
         call = exchange.call
@@ -183,6 +225,7 @@
                     'the target was replaced or is leaving',
                 )
             self._check(call)
+            self._holds.start_trial(call)
             async with asyncio.timeout(call.remaining_s()):
                 await exchange.run(conn, self._targets)
         except TimeoutError:
@@ -204,7 +247,11 @@
         attempt: Attempt,
         record: model.TargetRecord,
         response_sink: sink.DirectSink,
+        holds: prompt_holds.PromptHolds,
     ) -> None:
+        self._holds = holds
+        self._is_answered = False
+        self._is_lost_by_peer = False
         self.call: routed_call.RoutedCall = attempt.call
         self.record = record
         self.is_sent = False
@@ -221,6 +268,33 @@
             and self.head.get(headers.LEAVING) == _IS_LEAVING
         )
 
+    @property
+    def is_begun(self) -> bool:
+        """Return whether the target has begun to answer with a success."""
+        return self.head is not None and self.head.status < 300
+
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether the call may have crashed its target.
+
+        The target has closed the connection, and neither refused the call nor
+        written any of its answer.
+        """
+        return bool(
+            self.call.prompt_parts
+            and self.is_sent
+            and self._is_lost_by_peer
+            and not self._is_answered
+            and (self.is_begun or self.head is None)
+        )
+
+    def _record_answer(self) -> None:
+        if self.is_begun and not self._is_answered:
+            self._is_answered = True
+            self._holds.record_answer(
+                self.record.service, self.call.prompt_parts
+            )
+
     async def run(
         self, conn: connection.HttpConnection, view: targets.DirectTargets
     ) -> None:
@@ -238,6 +312,7 @@
             else:
                 await self._relay_response(conn, head)
         except connection.ResponseLost as exc:
+            self._is_lost_by_peer = conn.is_closed_by_peer
             if not exc.was_sent:
                 self.is_sent = False
                 _fail(Phase.REFUSED, errors.ErrorKind.NO_TARGET, str(exc))
@@ -356,6 +431,7 @@
                 f'the target answered {head.status} and may have run the call',
             )
         self._validate_success(head)
+        self._record_answer()
         if is_whole:
             await self._response_sink.send_response(answer)
         else:
@@ -401,6 +477,7 @@
                 await self._response_sink.start(head.status, rows)
             if complete:
                 event_s = time.monotonic()
+                self._record_answer()
                 await self._response_sink.write(complete)
             if not data:
                 await self._response_sink.finish()
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -24,6 +24,7 @@
     app,
     attempts,
     freshness,
+    prompt_holds,
     routed_call,
     shares,
     targets,
@@ -45,6 +46,10 @@
 """Subscription period until an agent has listed the entries. Without the list
 an entry sends few calls to cold targets."""
 
+REPEAT_HOLDS_PERIOD_S = 1.0
+TOLD_ENTRIES = 3
+"""Number of entries that are told each time of the prompts that are held."""
+
 ASKED_AGENTS = 4
 """Number of agents that are asked for their list of entries each time."""
 
@@ -135,9 +140,18 @@
         self._targets = targets.DirectTargets(
             self._directory, self._cold_limit, regions=cfg.regions
         )
+        self._holds = prompt_holds.PromptHolds(
+            self._send_to_entries,
+            lambda message, ip: self._endpoint.send(
+                message, (ip,), self._port
+            ),
+        )
         handler = calls.CallHandler(
             attempts.HttpAttemptRunner(
-                self._connections, self._targets, self._check_key_freshness
+                self._connections,
+                self._targets,
+                self._holds,
+                self._check_key_freshness,
             ),
             self._targets,
             None,
@@ -148,6 +162,7 @@
                 max_wait_share=MAX_WAIT_SHARE,
                 new_budget=self._new_budget,
             ),
+            self._holds.screen,
         )
         self._app = app.RoutedApp(self._directory, self._freshness, handler)
         limits = http_protocol.ConnectionLimits(
@@ -177,6 +192,12 @@
         self._endpoint.add_handler(messages.LoadReport, self._on_load_report)
         self._endpoint.add_handler(messages.LoadBatch, self._on_load_batch)
         self._endpoint.add_handler(messages.EntryList, self._on_entry_list)
+        for message_type, handle in (
+            (messages.PromptSuspect, self._holds.on_suspect),
+            (messages.PromptHold, self._holds.on_hold),
+            (messages.PromptAnswered, self._holds.on_answered),
+        ):
+            self._endpoint.add_handler(message_type, handle)
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -186,7 +207,10 @@
             for follower in self._followers
         ]
         await self._endpoint.open(self._cfg.ip, self._port)
-        self._tasks.append(lifecycle.create_background_task(self._subscribe()))
+        self._tasks += [
+            lifecycle.create_background_task(self._subscribe()),
+            lifecycle.create_background_task(self._repeat_holds()),
+        ]
         await self._readiness_server.start()
         try:
             await self._metrics_server.start()
@@ -284,6 +308,24 @@
                 async with asyncio.timeout(period_s):
                     await self._targets_added.wait()
 
+    async def _repeat_holds(self) -> None:
+        """Tell some entries of held prompts each second until cancelled.
+
+        Datagrams get lost, and an entry that has just started knows nothing.
+        """
+        while True:
+            await asyncio.sleep(REPEAT_HOLDS_PERIOD_S)
+            others = sorted(self._shares.others)
+            some = random.sample(others, min(TOLD_ENTRIES, len(others)))
+            self._holds.repeat(
+                lambda message, ips=some: self._endpoint.send(
+                    message, ips, self._port
+                )
+            )
+
+    def _send_to_entries(self, message: object) -> None:
+        self._endpoint.send(message, self._shares.others, self._port)
+
     def _on_entry_list(self, message: messages.EntryList, ip: str) -> None:
         self._shares.record_list(ip, endpoint.unpack_ips(message.ips))
 
--- a/src/wagtailhollow/internal/entry/direct/shares.py
+++ b/src/wagtailhollow/internal/entry/direct/shares.py
@@ -74,6 +74,11 @@
         while now_s - self._counts[0][0] > COUNT_WINDOW_S:
             self._counts.popleft()
 
+    @property
+    def others(self) -> frozenset[str]:
+        """Return the addresses of the other entries that agents list."""
+        return self._members - {self._ip}
+
     @property
     def has_list(self) -> bool:
         """Return whether an agent has sent a list."""
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -105,6 +105,7 @@
 
     :ivar idle_timeout_s: time-out of the peer's Keep-Alive header, or None.
     :ivar idle_since_s: loop time at which the connection became idle.
+    :ivar is_closed_by_peer: whether the peer has closed or reset it.
     """
 
     def __init__(self) -> None:
@@ -116,6 +117,7 @@
         self._reset_response()
         self._keeps_alive = True
         self._close_reason = ''
+        self.is_closed_by_peer = False
         self._request_id = b''
         self._had_responses = False
 
@@ -283,6 +285,7 @@
 
     def eof_received(self) -> bool:
         """Complete a body without a length, which ends with the connection."""
+        self.is_closed_by_peer = True
         if (
             self._state is _State.BODY
             and not self._is_framed
@@ -297,6 +300,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See :class:`asyncio.Protocol`."""
+        self.is_closed_by_peer |= isinstance(exc, ConnectionError)
         if self._is_complete:
             self._keeps_alive = False
             self._wake_waiter()
--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -170,7 +170,8 @@
     Each request takes the next of ``behaviours``: ``shed`` (503, not
     executed), ``fail`` (500), ``wrong`` (421), ``cut`` (the connection is
     aborted without an answer), ``break`` (it is aborted in the middle of an
-    event of a stream), ``torn`` (the stream ends in the middle of an event,
+    event of a stream), ``head`` (it is aborted after the head of one),
+    ``torn`` (the stream ends in the middle of an event,
     but its framing is complete), ``hang`` (no answer until the client
     disconnects), ``bare`` (no signature header), ``busy`` (503 that does not
     say whether the call ran), ``dribble`` (after half of the events a stream
@@ -273,6 +274,10 @@
     async def _events(
         self, req: requests.Request, received: ReceivedRequest, behaviour: str
     ) -> AsyncIterator[bytes]:
+        if behaviour == 'head':
+            await asyncio.sleep(HEAD_TO_CRASH_S)
+            req.scope['abort_connection']()
+            return
         prompt = received.headers.get('x-prompt-prefix', '')
         if self.crash_part and f'{self.crash_part}:' in prompt:
             await asyncio.sleep(HEAD_TO_CRASH_S)
