Send a target no calls for the time that its 503 asks for

Cause: the same class as the leaving targets, a fact stated in an answer that was not read. Retry-After of a target had no reader.

The time belongs to a start of the target, so that a lapsed registration does not end it and a restart does; a shorter time does not end a longer one.

--- a/src/wagtailhollow/internal/entry/agent_targets.py
+++ b/src/wagtailhollow/internal/entry/agent_targets.py
@@ -29,6 +29,10 @@
         self._table_view = table_view
         self._is_connected = is_connected
 
+    def unavailable_s(self, call: call_module.Call) -> float:
+        """See :class:`calls.TargetSource`; agents state no time."""
+        return 0.0
+
     def has_available_target(self, call: call_module.Call) -> bool:
         """See :class:`calls.TargetSource`.
 
--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -80,6 +80,9 @@
         While none is, a call waits before candidates are chosen.
         """
 
+    def unavailable_s(self, call: call_module.Call) -> float:
+        """Return for how long no target will be available, 0 if unknown."""
+
     def candidates(self, call: call_module.Call) -> list[policy.Candidate]:
         """Return the targets that may serve the call."""
 
@@ -195,6 +198,14 @@
             not self._targets.has_available_target(call)
             and loop.time() < until_s
         ):
+            unavailable_s = self._targets.unavailable_s(call)
+            if loop.time() + unavailable_s > until_s:
+                raise errors.Refusal(
+                    errors.ErrorKind.NO_TARGET,
+                    f'all targets of {call.service_name} have asked for no '
+                    f'calls for {unavailable_s:.1f} s',
+                    retry_after_s=unavailable_s,
+                )
             await asyncio.sleep(TARGET_POLL_INTERVAL_S)
             self._screen(call)
 
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -125,7 +125,7 @@
             _fail(
                 Phase.REFUSED,
                 errors.ErrorKind.NO_TARGET,
-                'the registration of the target is gone',
+                'the target is not in service any more',
             )
         response_sink.set_data_centre(record.data_centre)
         exchange = _Exchange(attempt, record, response_sink, self._holds)
@@ -176,9 +176,8 @@
         A retry of a call that its target had begun waits for the verdict. A
         target that leaves ends by itself.
         """
-        if (
-            not exchange.is_suspect
-            or self._targets.current(exchange.record.name) is None
+        if not exchange.is_suspect or not self._targets.is_in_service(
+            exchange.record
         ):
             return
         task = asyncio.create_task(self._judge(exchange))
@@ -222,7 +221,7 @@
                 _fail(
                     Phase.REFUSED,
                     errors.ErrorKind.NO_TARGET,
-                    'the target was replaced or is leaving',
+                    'the target was replaced, is leaving or wants no calls',
                 )
             self._check(call)
             self._holds.start_trial(call)
@@ -392,6 +391,9 @@
     ) -> None:
         """Raise AttemptFailed if the target did not execute the call."""
         at_fault = head.get(headers.FAULTY_TARGET)
+        retry_after_s = head.retry_after_s()
+        if head.status == 503 and retry_after_s is not None:
+            view.turned_away(self.record, retry_after_s)
         if head.status == 503 and at_fault not in (
             b'',
             self.record.name.encode(),
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -122,6 +122,7 @@
         self._reports: dict[str, _LoadReport] = {}
         self._failed_until_s: dict[str, float] = {}
         self._refusing_until_s: dict[str, float] = {}
+        self._turned_away_until_s: dict[tuple[str, int], float] = {}
         self._group_by_target: dict[str, str] = {}
         self._replaced_incarnations: set[tuple[str, int]] = set()
         self._available_by_service: dict[
@@ -137,6 +138,27 @@
         """
         return bool(self._available(call))
 
+    def unavailable_s(self, call: routed_call.RoutedCall) -> float:
+        """See :class:`calls.TargetSource`.
+
+        The time is known if all targets have asked for no calls.
+        """
+        records = self._in_regions(
+            call, self._directory.targets(call.service_name)
+        )
+        now_s = self._clock()
+        return min(
+            (
+                max(
+                    0.0,
+                    self._turned_away_until_s.get(record.incarnation, now_s)
+                    - now_s,
+                )
+                for record in records
+            ),
+            default=0.0,
+        )
+
     def candidates(
         self, call: routed_call.RoutedCall
     ) -> list[policy.Candidate]:
@@ -199,8 +221,17 @@
         return Attempt(call, candidate, 0, manifest.version, number, claim)
 
     def current(self, name: str) -> model.TargetRecord | None:
-        """Return the ready incarnation of the target *name*, or None."""
-        return self._directory.ready(name)
+        """Return the incarnation of the target *name* that takes calls.
+
+        None if it is not ready, or asked for no calls and the time is not
+        over.
+        """
+        record = self._directory.ready(name)
+        return None if record and self._is_turned_away(record) else record
+
+    def is_in_service(self, record: model.TargetRecord) -> bool:
+        """Return whether a target is neither leaving nor gone."""
+        return self._directory.ready(record.name) is not None
 
     def started(self, record: model.TargetRecord) -> None:
         """Count a call that is sent to a target."""
@@ -245,6 +276,24 @@
         """Exclude a target that has said that it is leaving."""
         self._directory.mark_leaving(record)
 
+    def turned_away(self, record: model.TargetRecord, pause_s: float) -> None:
+        """Send no calls to a target for the time that it asked for."""
+        now_s = self._clock()
+        until_s = now_s + pause_s
+        self._turned_away_until_s = {
+            incarnation: end_s
+            for incarnation, end_s in self._turned_away_until_s.items()
+            if end_s > now_s
+        }
+        if until_s > self._turned_away_until_s.get(record.incarnation, now_s):
+            self._turned_away_until_s[record.incarnation] = until_s
+        self._available_by_service.clear()
+        decisions.log('target_busy', target=record.name, pause_s=pause_s)
+
+    def _is_turned_away(self, record: model.TargetRecord) -> bool:
+        until_s = self._turned_away_until_s.get(record.incarnation, 0.0)
+        return until_s > self._clock()
+
     def pause_group(self, record: model.TargetRecord) -> None:
         """Exclude all targets of a group briefly because it is not serving."""
         group = self._group_by_target.get(record.name)
@@ -353,6 +402,7 @@
         if (
             record.incarnation in self._replaced_incarnations
             or self._refusing_until_s.get(record.name, 0.0) > self._clock()
+            or self._is_turned_away(record)
         ):
             return False
         report = self._fresh_report(record.name)
@@ -379,6 +429,14 @@
                 and self._group_by_target.get(record.name) not in stalled
             ]
             self._available_by_service[call.service_name] = (now_s, records)
+        return self._in_regions(call, records)
+
+    def _in_regions(
+        self,
+        call: routed_call.RoutedCall,
+        records: list[model.TargetRecord],
+    ) -> list[model.TargetRecord]:
+        """Return the targets in regions that may serve the call."""
         if call.regions is None:
             return records
         # A data centre of an unknown region serves no call that is bound.
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -12,6 +12,7 @@
 import collections
 import dataclasses
 import enum
+import re
 import socket
 from collections.abc import Sequence
 
@@ -36,6 +37,8 @@
 MAX_SKIPPED_BYTES = 1024 * 1024
 """Bytes of the bodies of late responses before the expected one."""
 
+_SECONDS = re.compile(rb'\d{1,9}(\.\d{1,9})?')
+
 REQUEST_ID_HEADER = b'x-request-id'
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -79,6 +82,11 @@
         """Return the first value of a header."""
         return first_header(self.headers, name, default)
 
+    def retry_after_s(self) -> float | None:
+        """Return the seconds of Retry-After; None for another value."""
+        match = _SECONDS.fullmatch(self.get(b'retry-after').strip())
+        return float(match[0]) if match else None
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -178,6 +178,7 @@
     sends a byte of a comment now and then).
 
     :ivar gap_s: time between two events of a stream.
+    :ivar retry_after: value of Retry-After in answers with status 503, if any.
     :ivar is_leaving: whether all answers say that the engine is leaving.
     :ivar crash_part: part of a prompt on which the engine sends the head of a
         stream and then crashes, or empty.
@@ -187,6 +188,7 @@
     def __init__(self, name: str, service: str) -> None:
         self.name = name
         self.service = service
+        self.retry_after = ''
         self.is_leaving = False
         self.crash_part = ''
         self.is_crashed = False
@@ -229,6 +231,8 @@
         echo = {'x-request-id': received.request_id}
         if self.is_leaving:
             echo['server-leaving'] = '1'
+        if self.retry_after and behaviour in ('shed', 'busy'):
+            echo['retry-after'] = self.retry_after
         if behaviour == 'shed':
             return responses.Response(
                 status_code=503, headers=echo | {'x-not-executed': '1'}
