Take a stream that ends with its connection before any event as broken off

Callers saw: a complete, empty stream where an engine had crashed. An answer may come with neither a length nor chunks and end with its connection; a crash that closes the connection in order then looks like the end of the stream.

Cause: the end of such a body was the end of the answer unless it was inside an event. A sound stream has an event. For the same reason the crash of a target went unnoticed by the holds of prompts.

Open: a crash between two events of such a stream that closes in order cannot be told from its end.

--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -465,6 +465,15 @@
                 raise connection.ResponseLost(
                     'the stream ended in the middle of an event'
                 )
+            if (
+                not data
+                and conn.ends_with_connection
+                and not self._is_answered
+            ):
+                # What a target sends that crashes before the first event.
+                raise connection.ResponseLost(
+                    'the stream ended with its connection, without any event'
+                )
             try:
                 complete = (
                     self.position.feed(data)
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -158,6 +158,11 @@
         """Return whether a request can be sent."""
         return self._state is _State.IDLE and not self._transport.is_closing()
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether the end of the body is that of the connection."""
+        return self._head is not None and not self._is_framed
+
     def close(self) -> None:
         """Abort the connection and with it any request in progress."""
         self._state = _State.BROKEN
