Take held calls back from targets that have not answered them yet

Cause: a hold kept calls from being sent, but those already at a target stayed. Their requests are ended now, which makes an engine drop them; calls that run at most once are left, as their outcome would be unknown.

Evidence: the new test over loopback fails without the change, and a trial call is not taken back by the news of its own hold.

--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -113,6 +113,8 @@
         self._targets = view
         self._holds = holds
         self._check = check
+        holds.listeners.append(self._take_back)
+        self._exchanges: set[_Exchange] = set()
         self._ended = ended_targets.EndedTargets()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -131,6 +133,7 @@
         exchange = _Exchange(attempt, record, response_sink, self._holds)
         start_s = time.monotonic()
         self._targets.started(record)
+        self._exchanges.add(exchange)
         result = 'failed'
         failure = {}
         try:
@@ -152,6 +155,7 @@
             attempt.call.execution.may_have_run = exchange.is_sent
             raise
         finally:
+            self._exchanges.discard(exchange)
             self._targets.finished(record)
             decisions.log(
                 'attempt',
@@ -170,6 +174,20 @@
                 **failure,
             )
 
+    def _take_back(self, service: str, hold: prompt_holds.Hold) -> None:
+        """End the calls with held parts that no target has answered yet.
+
+        A call that runs at most once is left: its outcome would be unknown.
+        """
+        for exchange in self._exchanges:
+            call = exchange.call
+            if (
+                call.service_name == service
+                and hold.holds(call)
+                and not call.must_not_repeat
+            ):
+                exchange.take_back()
+
     async def _report_crash(self, exchange: _Exchange) -> None:
         """Record a call as a suspect if its target has ended.
 
@@ -249,6 +267,7 @@
         holds: prompt_holds.PromptHolds,
     ) -> None:
         self._holds = holds
+        self._conn: connection.HttpConnection | None = None
         self._is_answered = False
         self._is_lost_by_peer = False
         self.call: routed_call.RoutedCall = attempt.call
@@ -287,6 +306,11 @@
             and (self.is_begun or self.head is None)
         )
 
+    def take_back(self) -> None:
+        """End the request unless a part of its answer has arrived."""
+        if self._conn is not None and not self._is_answered:
+            self._conn.fail('parts of the prompt are held')
+
     def _record_answer(self) -> None:
         if self.is_begun and not self._is_answered:
             self._is_answered = True
@@ -298,6 +322,7 @@
         self, conn: connection.HttpConnection, view: targets.DirectTargets
     ) -> None:
         """Send the request and relay the response."""
+        self._conn = conn
         try:
             self.is_sent = True
             head = self.head = await self._fetch_head(conn, view)
--- a/src/wagtailhollow/internal/entry/direct/prompt_holds.py
+++ b/src/wagtailhollow/internal/entry/direct/prompt_holds.py
@@ -84,6 +84,12 @@
     is_own: bool = False
     trial_call_id: str = ''
 
+    def holds(self, call: routed_call.RoutedCall) -> bool:
+        """Return whether a call has all the parts and is not the trial."""
+        return self.trial_call_id != call.call_id and self.parts.issubset(
+            call.prompt_parts
+        )
+
 
 def hold_s(crashes: int) -> float:
     """Return the time of a hold that explains a number of crashes."""
@@ -91,7 +97,11 @@
 
 
 class PromptHolds:
-    """What one entry knows of the parts of prompts, by service."""
+    """What one entry knows of the parts of prompts, by service.
+
+    :ivar listeners: called with the service and a hold that is new, or that
+        another entry has repeated.
+    """
 
     def __init__(
         self,
@@ -107,6 +117,7 @@
         self._broadcast = broadcast
         self._reply = reply
         self._clock = clock
+        self.listeners: list[Callable[[str, Hold], None]] = []
         self._holds: dict[str, dict[Parts, Hold]] = {}
         self._answered: dict[tuple[str, str], None] = {}
         self._weak: dict[tuple[str, str], set[str]] = {}
@@ -118,7 +129,7 @@
         """Raise Refusal if the parts of the call are held."""
         now_s = self._clock()
         for hold in self._matching(call):
-            if now_s < hold.until_s and hold.trial_call_id != call.call_id:
+            if now_s < hold.until_s:
                 raise errors.Refusal(
                     errors.ErrorKind.PROMPT_HELD,
                     'targets crashed while they answered calls with the parts '
@@ -256,11 +267,7 @@
         holds = self._holds.get(call.service_name)
         if not holds:
             return []
-        return [
-            hold
-            for hold in holds.values()
-            if hold.parts.issubset(call.prompt_parts)
-        ]
+        return [hold for hold in holds.values() if hold.holds(call)]
 
     def _unanswered(self, service: str, parts: Iterable[str]) -> Parts:
         return frozenset(
@@ -389,6 +396,8 @@
         while len(holds) > MAX_HOLDS:
             first = min(holds.values(), key=lambda item: item.until_s)
             del holds[first.parts]
+        for listen in self.listeners:
+            listen(service, hold)
 
     def _message(self, service: str, hold: Hold) -> messages.PromptHold:
         left_s = max(0.0, hold.until_s - self._clock())
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -169,6 +169,12 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def fail(self, reason: str) -> None:
+        """Abort the connection; the request in progress is lost."""
+        self._close_reason = self._close_reason or reason
+        self.close()
+        self._wake_waiter()
+
     async def send(self, req: Request) -> Head:
         """Send a request and return the head of its response.
 
@@ -251,11 +257,6 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    def _abort(self, reason: str) -> None:
-        self._close_reason = self._close_reason or reason
-        self.close()
-        self._wake_waiter()
-
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -276,7 +277,7 @@
         """See :class:`asyncio.Protocol`."""
         if self._state is _State.IDLE:
             # Data without a pending request: a duplicate response or garbage.
-            self._abort('data received without a pending request')
+            self.fail('data received without a pending request')
         elif self._state is not _State.BROKEN:
             self._bytes_without_body += len(data)
             try:
@@ -286,12 +287,12 @@
                 if self._is_complete:
                     self._keeps_alive = False
                 else:
-                    self._abort(f'malformed HTTP response: {exc}')
+                    self.fail(f'malformed HTTP response: {exc}')
             if (
                 self._bytes_without_body > MAX_HEAD_BYTES
                 or self._skipped_bytes > MAX_SKIPPED_BYTES
             ):
-                self._abort('the peer sends bytes that are no response')
+                self.fail('the peer sends bytes that are no response')
             elif self._buffered_bytes > PAUSE_BYTES:
                 self._transport.pause_reading()
             self._wake_waiter()
@@ -307,7 +308,7 @@
             self._is_complete = True
             self._wake_waiter()
         elif not self._is_complete:
-            self._abort('the peer closed the connection during the response')
+            self.fail('the peer closed the connection during the response')
         self._keeps_alive = False
         return False
 
@@ -318,7 +319,7 @@
             self._keeps_alive = False
             self._wake_waiter()
             return
-        self._abort(f'the connection was lost: {exc!r}')
+        self.fail(f'the connection was lost: {exc!r}')
 
     # httptools callbacks
 
@@ -348,7 +349,7 @@
         response_id = head.get(REQUEST_ID_HEADER)
         if self._request_id and not response_id and self._had_responses:
             # It may be a second copy of an earlier response.
-            self._abort('response without a request id on a used connection')
+            self.fail('response without a request id on a used connection')
             return
         self._is_skipped = bool(
             self._request_id
--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -180,6 +180,8 @@
     :ivar gap_s: time between two events of a stream.
     :ivar retry_after: value of Retry-After in answers with status 503, if any.
     :ivar is_leaving: whether all answers say that the engine is leaving.
+    :ivar head_delay_s: time before the head of an answer; a request whose
+        client disconnects in it is dropped.
     :ivar crash_part: part of a prompt on which the engine sends the head of a
         stream and then crashes, or empty.
     :ivar is_crashed: whether it has crashed.
@@ -190,6 +192,7 @@
         self.service = service
         self.retry_after = ''
         self.is_leaving = False
+        self.head_delay_s = 0.0
         self.crash_part = ''
         self.is_crashed = False
         self.behaviours: list[str] = []
@@ -253,6 +256,11 @@
             )
         if behaviour == 'bare':
             return responses.Response(b'bare', headers=echo)
+        if self.head_delay_s:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self.head_delay_s):
+                    await self._wait_for_disconnect(req, received)
+                return responses.Response()
         if behaviour == 'hang':
             await self._wait_for_disconnect(req, received)
         if behaviour in ('cut', 'hang'):
--- a/tests/cover/test_query_of_death.py
+++ b/tests/cover/test_query_of_death.py
@@ -95,6 +95,43 @@
     run_scenario(scenario, engines=4, entries=2)
 
 
+def test_held_calls_are_taken_back_from_other_targets():
+    """Guards against calls that wait at a target when their part is held."""
+
+    async def scenario(site):
+        slow, quick = site.engines_of(direct_deployment.MODEL_SERVICE)
+        await site.list_entries()
+        async with call(site, 0, FIRST_PART) as resp:
+            await resp.read()
+        slow.head_delay_s = 1.5
+        site.store.delete('servers', quick.name)
+        await asyncio.sleep(0.3)
+        waiting = [
+            asyncio.ensure_future(
+                call(site, number, FIRST_PART, *parts, ip=ip)
+            )
+            for number, (ip, parts) in enumerate(
+                itertools.product(site.ips, [(CRASH_PART,), ()]), 1
+            )
+        ]
+        await asyncio.sleep(0.2)
+        # The targets of the last call; the others wait at the slow one.
+        site.store.delete('servers', slow.name)
+        site.store.put('servers', quick.name, quick.registration())
+        await asyncio.sleep(0.4)
+        async with call(site, 9, FIRST_PART, CRASH_PART) as resp:
+            assert resp.status == 502
+        assert quick.is_crashed
+        statuses = []
+        for resp in await asyncio.gather(*waiting):
+            statuses.append(resp.status)
+            await resp.read()
+        assert statuses == [502, 200, 502, 200]
+        assert not slow.is_crashed
+
+    run_scenario(scenario, entries=2)
+
+
 def test_entry_that_starts_later_learns_of_held_parts():
     """Guards against a restarted entry that ends one more target."""
 
@@ -334,6 +371,23 @@
     assert not is_sent(holds, 'x')
 
 
+def test_trial_is_not_taken_back_by_news_of_its_own_hold():
+    """Guards against a trial that ends without a result."""
+    entries = Entries(2)
+    one, two = entries.entries
+    one.record_crash(SERVICE, ['x'], 't1/1', True)
+    entries.advance(int(prompt_holds.HOLD_S) + 1)
+    trial = routed('x')
+    one.start_trial(trial)
+    taken_back = []
+    one.listeners.append(
+        lambda service, hold: taken_back.append(hold.holds(trial))
+    )
+    entries.advance(2)
+    assert not any(taken_back)
+    assert taken_back
+
+
 def test_calls_that_crash_targets_before_a_head_are_held():
     """Guards against targets that send the head with the first event."""
     entries = Entries(4)
