Let an entry that starts ask the others for held prompts

Cause: an entry that starts learned of holds from the others' repetition only, three of them each second. It asks all others now with the first list of entries, which it gets within milliseconds of its first subscription.

--- a/deploy/hosts.thrift
+++ b/deploy/hosts.thrift
@@ -108,3 +108,7 @@
   1: string service,
   2: string parts,
 }
+
+struct PromptHoldsWanted {
+  1: string node,
+}
--- a/src/wagtailhollow/internal/datagram/messages.py
+++ b/src/wagtailhollow/internal/datagram/messages.py
@@ -254,6 +254,11 @@
     """
 
 
+@_thrift_struct(('node', TType.STRING, ''))
+class PromptHoldsWanted(TBase.TBase):
+    """Request of an entry that has started, for all holds of another."""
+
+
 @_thrift_struct(
     ('service', TType.STRING, ''),
     ('parts', TType.STRING, ''),
@@ -274,4 +279,5 @@
     PromptSuspect,
     PromptHold,
     PromptAnswered,
+    PromptHoldsWanted,
 )
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -196,6 +196,7 @@
             (messages.PromptSuspect, self._holds.on_suspect),
             (messages.PromptHold, self._holds.on_hold),
             (messages.PromptAnswered, self._holds.on_answered),
+            (messages.PromptHoldsWanted, self._holds.on_wanted),
         ):
             self._endpoint.add_handler(message_type, handle)
         self._tasks: list[asyncio.Task[None]] = []
@@ -311,7 +312,7 @@
     async def _repeat_holds(self) -> None:
         """Tell some entries of held prompts each second until cancelled.
 
-        Datagrams get lost, and an entry that has just started knows nothing.
+        Datagrams get lost, also those to an entry that has just started.
         """
         while True:
             await asyncio.sleep(REPEAT_HOLDS_PERIOD_S)
@@ -327,7 +328,12 @@
         self._endpoint.send(message, self._shares.others, self._port)
 
     def _on_entry_list(self, message: messages.EntryList, ip: str) -> None:
+        is_first = not self._shares.has_list
         self._shares.record_list(ip, endpoint.unpack_ips(message.ips))
+        if is_first:
+            self._send_to_entries(
+                messages.PromptHoldsWanted(node=self._cfg.node)
+            )
 
     def _on_load_report(self, message: messages.LoadReport, ip: str) -> None:
         row = load_rows.row_of(message)
--- a/src/wagtailhollow/internal/entry/direct/prompt_holds.py
+++ b/src/wagtailhollow/internal/entry/direct/prompt_holds.py
@@ -250,6 +250,10 @@
             # The others have the suspicion from this entry.
             self._broadcast(message)
 
+    def on_wanted(self, message: messages.PromptHoldsWanted, ip: str) -> None:
+        """Send all holds in force to an entry that has started."""
+        self.repeat(lambda hold: self._reply(hold, ip))
+
     def repeat(self, send: Callable[[Any], None]) -> None:
         """Send all holds in force, and drop those that ended long ago.
 
--- a/tests/cover/test_query_of_death.py
+++ b/tests/cover/test_query_of_death.py
@@ -144,9 +144,8 @@
         site.ips.append(ip)
         await site.start_entry(ip)
         await site.wait_until_ready(ip)
-        for _ in range(3):
-            await site.list_entries()
-            await asyncio.sleep(0.7)
+        # From the first list on, without a wait for the next repetition.
+        await site.list_entries()
         async with call(site, 2, 'bb', CRASH_PART, ip=ip) as resp:
             assert resp.status == 503
         assert crashes(site) == 1
