--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -388,7 +388,6 @@
     """An object store, engines of two services, and entries.
 
     :ivar ip: address of the first entry.
-    :ivar entry: the first entry.
     """
 
     def __init__(self, engines: int = 2, entries: int = 1) -> None:
@@ -416,12 +415,20 @@
             self.store.put('servers', engine.name, engine.registration())
         for ip in self.ips:
             await self.start_entry(ip)
-        self.entry = self.entries[0]
         self.session = aiohttp.ClientSession(auto_decompress=False)
         for ip in self.ips:
             await self.wait_until_ready(ip)
         return self
 
+    @property
+    def entry(self) -> compose.DirectEntry:
+        """Return the first entry."""
+        return self.entries[0]
+
+    @entry.setter
+    def entry(self, entry: compose.DirectEntry) -> None:
+        self.entries[0] = entry
+
     async def start_entry(self, ip: str) -> None:
         """Start an entry without waiting until it is ready."""
         row = host_settings(self.store.server.address, ip)
