--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -10,8 +10,10 @@
 import asyncio
 import contextlib
 import dataclasses
+import errno
 import itertools
 import json
+import socket
 from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
@@ -25,6 +27,8 @@
 from . import serving
 
 _HOST_NUMBERS = itertools.count(2)
+_RESERVATIONS: list[socket.socket] = []
+RESERVATION_PORT = 7339
 MODEL_SERVICE = 'svc-engines'
 PLAIN_SERVICE = 'svc-records'
 HOST_NAME = 'a.example'
@@ -37,11 +41,31 @@
 
 
 def unused_ip() -> str:
-    """Return a loopback address not used before in this process."""
-    number = next(_HOST_NUMBERS)
+    """Return a loopback address that no other test run on this host uses."""
+    return next(filter(_reserve, map(_loopback_ip, _HOST_NUMBERS)))
+
+
+def _loopback_ip(number: int) -> str:
     return f'127.{1 + number // 62_500}.{number // 250 % 250}.{number % 250}'
 
 
+def _reserve(ip: str) -> bool:
+    """Reserve an address until the process ends; return whether it was free.
+
+    Ports are the same on all hosts, so that two runs cannot share one.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        sock.bind((ip, RESERVATION_PORT))
+    except OSError as exc:
+        sock.close()
+        if exc.errno != errno.EADDRINUSE:
+            raise
+        return False
+    _RESERVATIONS.append(sock)
+    return True
+
+
 class Server:
     """Serves a Starlette application in the running event loop."""
 
