--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -179,12 +179,18 @@
 
 @dataclasses.dataclass
 class ReceivedRequest:
-    """A request that an engine received."""
+    """A request that an engine received.
+
+    :ivar received_s: loop time.
+    :ivar behaviour: how the engine answers it.
+    """
 
     request_id: str
     path: str
     headers: dict[str, str]
     body: bytes
+    received_s: float
+    behaviour: str
     disconnected: bool = False
 
 
@@ -253,6 +259,8 @@
             req.scope['raw_path'].decode(),
             dict(req.headers),
             await req.body(),
+            asyncio.get_running_loop().time(),
+            behaviour,
         )
         self.received.append(received)
         echo = {'x-request-id': received.request_id}
