Do not count calls that are taken back against their targets

Found by reading the change: ending a held call at a sound target excluded that target for a second. The test checks it. Also: an entry asks each entry that it gets to know for its holds, not only those of the first list, and waiting calls do not look through all targets while none has asked for a pause.

--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -147,7 +147,8 @@
             }
             if exc.phase is not Phase.REFUSED:
                 attempt.call.execution.may_have_run = True
-            self._targets.failed(record, exc)
+            if not exchange.is_taken_back:
+                self._targets.failed(record, exc)
             await self._report_crash(exchange)
             raise
         except asyncio.CancelledError:
@@ -242,7 +243,7 @@
                     'the target was replaced, is leaving or wants no calls',
                 )
             self._check(call)
-            self._holds.start_trial(call)
+            self._holds.admit(call)
             async with asyncio.timeout(call.remaining_s()):
                 await exchange.run(conn, self._targets)
         except TimeoutError:
@@ -270,6 +271,7 @@
         self._conn: connection.HttpConnection | None = None
         self._is_answered = False
         self._is_lost_by_peer = False
+        self.is_taken_back = False
         self.call: routed_call.RoutedCall = attempt.call
         self.record = record
         self.is_sent = False
@@ -309,6 +311,7 @@
     def take_back(self) -> None:
         """End the request unless a part of its answer has arrived."""
         if self._conn is not None and not self._is_answered:
+            self.is_taken_back = True
             self._conn.fail('parts of the prompt are held')
 
     def _record_answer(self) -> None:
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -328,12 +328,10 @@
         self._endpoint.send(message, self._shares.others, self._port)
 
     def _on_entry_list(self, message: messages.EntryList, ip: str) -> None:
-        is_first = not self._shares.has_list
+        before = self._shares.others
         self._shares.record_list(ip, endpoint.unpack_ips(message.ips))
-        if is_first:
-            self._send_to_entries(
-                messages.PromptHoldsWanted(node=self._cfg.node)
-            )
+        wanted = messages.PromptHoldsWanted(node=self._cfg.node)
+        self._endpoint.send(wanted, self._shares.others - before, self._port)
 
     def _on_load_report(self, message: messages.LoadReport, ip: str) -> None:
         row = load_rows.row_of(message)
--- a/src/wagtailhollow/internal/entry/direct/prompt_holds.py
+++ b/src/wagtailhollow/internal/entry/direct/prompt_holds.py
@@ -137,11 +137,11 @@
                     retry_after_s=hold.until_s - now_s,
                 )
 
-    def start_trial(self, call: routed_call.RoutedCall) -> None:
+    def admit(self, call: routed_call.RoutedCall) -> None:
         """Screen a call right before it is sent.
 
-        If the time of a hold on it is over, the call is the trial, and the
-        hold goes on for all others.
+        If the time of a hold on it is over, the call becomes the trial, and
+        the hold goes on for all others.
 
         :raises Refusal: see :meth:`screen`.
         """
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -143,6 +143,8 @@
 
         The time is known if all targets have asked for no calls.
         """
+        if not self._turned_away_until_s:
+            return 0.0
         records = self._in_regions(
             call, self._directory.targets(call.service_name)
         )
--- a/tests/cover/test_query_of_death.py
+++ b/tests/cover/test_query_of_death.py
@@ -128,6 +128,9 @@
             await resp.read()
         assert statuses == [502, 200, 502, 200]
         assert not slow.is_crashed
+        # Its end of these calls is no fault of the target.
+        view = site.entry._targets
+        assert slow.name not in view._failed_until_s
 
     run_scenario(scenario, entries=2)
 
@@ -259,7 +262,7 @@
 def is_sent(holds, *parts):
     """Return whether an entry sends a call with the parts to a target."""
     try:
-        holds.start_trial(routed(*parts))
+        holds.admit(routed(*parts))
     except errors.Refusal as exc:
         assert exc.kind is errors.ErrorKind.PROMPT_HELD
         assert exc.retry_after_s > 0
@@ -364,9 +367,9 @@
     holds.record_crash(SERVICE, ['x'], 't1/1', True)
     entries.advance(int(prompt_holds.HOLD_S) + 1)
     trial = routed('x')
-    holds.start_trial(trial)
+    holds.admit(trial)
     holds.screen(trial)
-    holds.start_trial(trial)
+    holds.admit(trial)
     assert not is_sent(holds, 'x')
 
 
@@ -377,7 +380,7 @@
     one.record_crash(SERVICE, ['x'], 't1/1', True)
     entries.advance(int(prompt_holds.HOLD_S) + 1)
     trial = routed('x')
-    one.start_trial(trial)
+    one.admit(trial)
     taken_back = []
     one.listeners.append(
         lambda service, hold: taken_back.append(hold.holds(trial))
