--- a/proof/direct_soak.py
+++ b/proof/direct_soak.py
@@ -89,6 +89,7 @@
         rows = direct_deployment.host_settings(store, self.ip)
         self._file.write_text('\n'.join(_toml_lines(rows)))
         self._process: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
 
     @property
     def log(self) -> str:
@@ -117,10 +118,16 @@
             self._process.send_signal(number)
 
     async def restart(self, number: signal.Signals) -> None:
-        """End the program by a signal and start it again."""
+        """End the program by a signal and start it again.
+
+        Series overlap: one signal ends the program, and it is started once.
+        """
+        process = self._process
         self.signal(number)
-        await self._process.wait()
-        await self.start()
+        await process.wait()
+        async with self._starting:
+            if self._process is process:
+                await self.start()
 
     async def stop(self) -> None:
         """Kill the program."""
@@ -263,10 +270,9 @@
             for engine in list(self._engines):
                 if engine.is_crashed:
                     self._crashed_s.append(_now_s())
-                    self._engines.remove(engine)
                     await self._add_engine(engine.service)
                     self._engines[-1].crash_part = engine.crash_part
-                    self._store.delete('servers', engine.name)
+                    self._remove(engine)
             await asyncio.sleep(0.1)
 
     async def _call_repeatedly(self) -> None:
@@ -372,13 +378,18 @@
 
     async def replace(self, engine: direct_deployment.Engine) -> None:
         """Let an engine leave and another come; it goes after a while."""
+        if engine.is_leaving:
+            return
         await self._add_engine(engine.service)
         self._engines[-1].crash_part = engine.crash_part
         engine.is_leaving = True
         await asyncio.sleep(self.uniform(0.0, 3.0))
+        self._remove(engine)
+
+    def _remove(self, engine: direct_deployment.Engine) -> None:
         if engine in self._engines:
             self._engines.remove(engine)
-        self._store.delete('servers', engine.name)
+            self._store.delete('servers', engine.name)
 
     def set_crash_part(self) -> None:
         """Let all model engines crash on one part of prompts from now on."""
