--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -199,7 +199,7 @@
             and loop.time() < until_s
         ):
             unavailable_s = self._targets.unavailable_s(call)
-            if loop.time() + unavailable_s > until_s:
+            if unavailable_s and loop.time() + unavailable_s > until_s:
                 raise errors.Refusal(
                     errors.ErrorKind.NO_TARGET,
                     f'all targets of {call.service_name} have asked for no '
