Use the scenario runner and the readiness wait that the tests already had

Found by reading the change again: two new modules had a copy of run_scenario of test_direct_entry, test_restarted_entry a twin of the stand-in's wait_until_ready, and the soak kept a time that nothing read.

--- a/proof/direct_soak.py
+++ b/proof/direct_soak.py
@@ -76,14 +76,10 @@
 
 
 class EntryProcess:
-    """An entry as a process.
-
-    :ivar disturbed_s: loop time of the last signal or start.
-    """
+    """An entry as a process."""
 
     def __init__(self, store: str, folder: pathlib.Path) -> None:
         self.ip = direct_deployment.unused_ip()
-        self.disturbed_s = 0.0
         self._file = folder / f'{self.ip}.toml'
         self._log = folder / f'{self.ip}.log'
         rows = direct_deployment.host_settings(store, self.ip)
@@ -109,11 +105,9 @@
                 stderr=log,
                 env=os.environ | {'PYTHONPATH': str(_ROOT / 'src')},
             )
-        self._mark()
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, unless the process has ended."""
-        self._mark()
         with contextlib.suppress(ProcessLookupError):
             self._process.send_signal(number)
 
@@ -134,9 +128,6 @@
         self.signal(signal.SIGKILL)
         await self._process.wait()
 
-    def _mark(self) -> None:
-        self.disturbed_s = asyncio.get_running_loop().time()
-
 
 def _toml_lines(rows: dict[str, object], path: str = '') -> Iterator[str]:
     tables = {k: v for k, v in rows.items() if isinstance(v, dict)}
--- a/tests/cover/test_leaving_targets.py
+++ b/tests/cover/test_leaving_targets.py
@@ -11,21 +11,12 @@
 import pytest
 
 from standins import direct_deployment
+from tests.cover.test_direct_entry import run_scenario
 
 CALLS = 12
 """A target that takes calls misses all of these once in 4,000 runs."""
 
 
-def run_scenario(scenario):
-    """Run *scenario* on a new in-process deployment."""
-
-    async def run():
-        async with direct_deployment.DirectDeployment() as site:
-            await asyncio.wait_for(scenario(site), 20)
-
-    asyncio.run(run())
-
-
 async def call_until_received(site, engine, route, prefix='r'):
     """Call until *engine* has answered one of the calls."""
     before = len(engine.received)
--- a/tests/cover/test_restarted_entry.py
+++ b/tests/cover/test_restarted_entry.py
@@ -27,12 +27,6 @@
     await site.entry.start()
 
 
-async def wait_until_ready(site):
-    async with asyncio.timeout(5):
-        while await site.readiness() != 200:
-            await asyncio.sleep(0.02)
-
-
 def test_key_withdrawn_before_a_restart_stays_refused():
     """Guards against a key that the restarted process takes for valid."""
 
@@ -43,7 +37,7 @@
             )
 
         await restart(site, withdraw)
-        await wait_until_ready(site)
+        await site.wait_until_ready(site.ip)
         async with site.call('once') as resp:
             assert resp.status == 401
         assert site.request_count(direct_deployment.PLAIN_SERVICE) == 0
@@ -61,7 +55,7 @@
             site.store.delete('servers', gone.name)
 
         await restart(site, leave)
-        await wait_until_ready(site)
+        await site.wait_until_ready(site.ip)
         for number in range(6):
             async with site.call('once', f'r{number}') as resp:
                 assert resp.status == 200
@@ -86,7 +80,7 @@
             'config', 'main', direct_deployment.manifest(keys=('other',))
         )
         site.store.mode = 'ok'
-        await wait_until_ready(site)
+        await site.wait_until_ready(site.ip)
         async with site.call('once', 'r2') as resp:
             assert resp.status == 401
         assert site.request_count(direct_deployment.PLAIN_SERVICE) == 0
--- a/tests/cover/test_retry_after_of_targets.py
+++ b/tests/cover/test_retry_after_of_targets.py
@@ -8,6 +8,7 @@
 import pytest
 
 from standins import direct_deployment
+from tests.cover.test_direct_entry import run_scenario
 from tests.target_records import SERVICE, record
 from wagtailhollow.internal.directory import follow, state
 from wagtailhollow.internal.entry.direct import targets
@@ -17,16 +18,6 @@
 CALL = types.SimpleNamespace(service_name=SERVICE, regions=None)
 
 
-def run_scenario(scenario):
-    """Run *scenario* on a new in-process deployment."""
-
-    async def run():
-        async with direct_deployment.DirectDeployment() as site:
-            await asyncio.wait_for(scenario(site), 20)
-
-    asyncio.run(run())
-
-
 async def turn_away(site, route, *engines):
     """Call until each engine has turned one call away."""
     for engine in engines:
