--- a/review/common/plain_service.py
+++ b/review/common/plain_service.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import deployment
 import http_peer
 
 SLOTS = 6
+EVENTS = 40
 SERVICE = 'svc-records'
 
 
@@ -67,6 +68,14 @@
                 503, headers=tuple(headers), has_late_copy=self.doubles(req)
             )
         self.received.append((request_id, req.received_s))
+        if req.path.startswith('/streaming/'):
+            headers += [
+                ('content-type', 'text/event-stream'),
+                ('x-engine-signature', f'{self.name}.{request_id}'),
+            ]
+            return http_peer.Response(
+                200, headers=tuple(headers), chunks=self._events()
+            )
         self._running += 1
         try:
             await asyncio.sleep(self._work_s)
@@ -79,9 +88,14 @@
         body = f'{self.name} answers {request_id}'.encode()
         return http_peer.Response(200, body, tuple(headers))
 
+    async def _events(self) -> AsyncIterator[bytes]:
+        for number in range(1, EVENTS + 1):
+            yield f'id: {number}\ndata: piece {number}\n\n'.encode()
+            await asyncio.sleep(self._work_s / EVENTS)
+
 
 def manifest(version: int = 1, timeout_ms: int = 1000) -> dict[str, Any]:
-    """Return a manifest with a safe and an unsafe route of the service."""
+    """Return a manifest with a route of each kind to the service."""
     return {
         'version': version,
         'routes': [
@@ -97,7 +111,7 @@
                 'max_attempts': 2,
                 'public': True,
             }
-            for kind in ('safe', 'unsafe')
+            for kind in ('safe', 'unsafe', 'streaming')
         ],
         'services': [
             {
