Review: bodies of requests that offer an upgrade are run as requests

Such a request runs with an empty body, and what its body holds is taken for further requests (UNASKED).

--- a/review/common/plain_service.py
+++ b/review/common/plain_service.py
@@ -20,6 +20,7 @@
 
     :ivar received: ids of the requests that ran, with the loop time of their
         arrival.
+    :ivar requests: these requests.
     :ivar answers: number of answers.
     :ivar is_leaving: whether all answers say that the engine is leaving.
     :ivar is_full: whether the engine rejects all requests.
@@ -30,6 +31,7 @@
     def __init__(self, name: str, ip: str, work_s: float = 0.03) -> None:
         self.name = name
         self.received: list[tuple[str, float]] = []
+        self.requests: list[http_peer.Request] = []
         self.answers = 0
         self.is_leaving = False
         self.is_full = False
@@ -68,6 +70,7 @@
                 503, headers=tuple(headers), has_late_copy=self.doubles(req)
             )
         self.received.append((request_id, req.received_s))
+        self.requests.append(req)
         if req.path.startswith('/streaming/'):
             headers += [
                 ('content-type', 'text/event-stream'),
