--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -23,7 +23,8 @@
 
 import http_peer
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+HERE = pathlib.Path(__file__).resolve().parent
+ROOT = HERE.parents[1]
 STORE_PORT = 8223
 ENGINE_PORT = 8228
 ENTRY_PORT = 8227
@@ -245,6 +246,23 @@
         self.note(f'started {program} at {ip}, process {process.pid}')
         return process.pid
 
+    def start_stand_in(self, program: str, *args: str) -> tuple[int, str]:
+        """Start a stand-in as a process.
+
+        :return: its process id and the file with its output.
+        """
+        file = f'{self._temp.name}/{len(self._processes)}.out'
+        with pathlib.Path(file).open('wb') as out:
+            process = subprocess.Popen(
+                [sys.executable, '-S', str(HERE / program), *args],
+                stdin=subprocess.DEVNULL,
+                stdout=out,
+                stderr=subprocess.STDOUT,
+            )
+        self._processes.append(process)
+        self.note(f'started {program} {args}, process {process.pid}')
+        return process.pid, file
+
     def log_lines(self, ip: str, *events: str) -> list[dict]:
         """Return the lines of a process's log with one of the events."""
         found = []
