Review: a cold engine that restarts under its id is taken for warm

A restart with the same remaining cold time has no time of receipt, so that the bound on calls to a cold engine is not kept (FAILBACK).

--- a/review/common/plain_service.py
+++ b/review/common/plain_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import AsyncIterator, Callable
 from typing import Any
@@ -23,6 +24,8 @@
     :ivar requests: these requests.
     :ivar answers: number of answers.
     :ivar is_leaving: whether all answers say that the engine is leaving.
+    :ivar crash_rate_per_s: number of requests in a second from which on the
+        engine crashes.
     :ivar is_full: whether the engine rejects all requests.
     :ivar doubles: returns whether a late second copy of the rejection of a
         request follows.
@@ -34,6 +37,7 @@
         self.requests: list[http_peer.Request] = []
         self.answers = 0
         self.is_leaving = False
+        self.crash_rate_per_s = math.inf
         self.is_full = False
         self.doubles: Callable[[http_peer.Request], bool] = lambda req: False
         self._born_ms = int(time.time() * 1000)
@@ -71,6 +75,14 @@
             )
         self.received.append((request_id, req.received_s))
         self.requests.append(req)
+        recent = [
+            when_s
+            for _, when_s in self.received
+            if when_s > req.received_s - 1.0
+        ]
+        if len(recent) >= self.crash_rate_per_s:
+            self.server.stop()
+            return http_peer.Response(0)
         if req.path.startswith('/streaming/'):
             headers += [
                 ('content-type', 'text/event-stream'),
