--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -74,14 +74,10 @@
 
     :ivar raw_specs: text that stands for ``"raw NAME"`` in the responses
         with objects of a kind.
-    :ivar is_silent: whether calls get no answer.
-    :ivar calls: kinds of the calls that arrived, with their loop times.
     """
 
     def __init__(self, ip: str) -> None:
         self.raw_specs: dict[tuple[str, str], bytes] = {}
-        self.is_silent = False
-        self.calls: list[tuple[str, float]] = []
         self._forgotten_revision = 0
         self._objects: dict[str, dict[str, dict]] = {}
         self._history: list[tuple[int, str, dict, bool]] = []
@@ -129,9 +125,6 @@
         path, _, query = req.path.partition('?')
         kind = path.removeprefix('/objects/')
         fields = dict(urllib.parse.parse_qsl(query))
-        self.calls.append((kind, asyncio.get_running_loop().time()))
-        if self.is_silent:
-            return await self._stay_silent()
         if 'watch' in fields:
             return await self._watch(kind, fields)
         items = list(self._objects.get(kind, {}).values())
@@ -141,8 +134,6 @@
         loop = asyncio.get_running_loop()
         end_s = loop.time() + int(fields['wait_ms']) / 1000
         while True:
-            if self.is_silent:
-                return await self._stay_silent()
             while (
                 self._history_s
                 and time.monotonic() - self._history_s[0] > HISTORY_S
@@ -164,11 +155,6 @@
             except TimeoutError:
                 continue
 
-    async def _stay_silent(self) -> http_peer.Response:
-        # A channel on which a response is lost returns nothing further.
-        await asyncio.sleep(3600)
-        return http_peer.Response(0)
-
     def _answer(self, kind: str, document: dict) -> http_peer.Response:
         document['store_revision'] = self._revision
         body = json.dumps(document).encode()
--- a/review/common/http_peer.py
+++ b/review/common/http_peer.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 MAX_HEAD_BYTES = 1 << 20
 
@@ -30,19 +30,11 @@
 
 @dataclasses.dataclass
 class Response:
-    """A response; one without a status closes the connection.
-
-    :ivar has_late_copy: whether the server sends it once more, just before
-        the next response on the same connection is due.
-    :ivar chunks: body that is sent in chunks instead.
-    """
+    """A response; one without a status closes the connection."""
 
     status: int = 200
     body: bytes = b''
     headers: tuple[tuple[str, str], ...] = ()
-    closes: bool = False
-    has_late_copy: bool = False
-    chunks: AsyncIterator[bytes] | None = None
 
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -123,47 +115,25 @@
     async def _serve_requests(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        late_copy = b''
         while True:
             first, headers = await read_head(reader)
             method, path, _ = first.split(' ')
             body = await read_body(reader, headers)
-            if late_copy:
-                writer.write(late_copy)
-                late_copy = b''
             now_s = asyncio.get_running_loop().time()
             req = Request(method, path, headers, body, now_s)
             resp = await self._handler(req)
-            if resp.chunks is not None:
-                await _send_chunks(writer, resp)
-            elif resp.status:
-                writer.write(encode(resp))
-                await writer.drain()
-            if resp.has_late_copy:
-                late_copy = encode(resp)
-            if resp.closes or not resp.status:
+            if not resp.status:
                 return
-
-
-async def _send_chunks(writer: asyncio.StreamWriter, resp: Response) -> None:
-    writer.write(_head(resp, 'transfer-encoding: chunked'))
-    async for chunk in resp.chunks:
-        writer.write(b'%x\r\n%s\r\n' % (len(chunk), chunk))
-        await writer.drain()
-    writer.write(b'0\r\n\r\n')
-    await writer.drain()
+            writer.write(encode(resp))
+            await writer.drain()
 
 
 def encode(resp: Response) -> bytes:
     """Return the bytes of a response with a length."""
-    return _head(resp, f'content-length: {len(resp.body)}') + resp.body
-
-
-def _head(resp: Response, framing: str) -> bytes:
     rows = [f'HTTP/1.1 {resp.status} Status']
     rows += [f'{name}: {value}' for name, value in resp.headers]
-    rows += [framing, '', '']
-    return '\r\n'.join(rows).encode('latin-1')
+    rows += [f'content-length: {len(resp.body)}', '', '']
+    return '\r\n'.join(rows).encode('latin-1') + resp.body
 
 
 async def call(
--- a/review/common/plain_service.py
+++ b/review/common/plain_service.py
@@ -5,14 +5,12 @@
 import asyncio
 import math
 import time
-from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import deployment
 import http_peer
 
 SLOTS = 6
-EVENTS = 40
 SERVICE = 'svc-records'
 
 
@@ -22,24 +20,17 @@
     :ivar received: ids of the requests that ran, with the loop time of their
         arrival.
     :ivar requests: these requests.
-    :ivar answers: number of answers.
     :ivar is_leaving: whether all answers say that the engine is leaving.
     :ivar crash_rate_per_s: number of requests in a second from which on the
         engine crashes.
-    :ivar is_full: whether the engine rejects all requests.
-    :ivar doubles: returns whether a late second copy of the rejection of a
-        request follows.
     """
 
     def __init__(self, name: str, ip: str, work_s: float = 0.03) -> None:
         self.name = name
         self.received: list[tuple[str, float]] = []
         self.requests: list[http_peer.Request] = []
-        self.answers = 0
         self.is_leaving = False
         self.crash_rate_per_s = math.inf
-        self.is_full = False
-        self.doubles: Callable[[http_peer.Request], bool] = lambda req: False
         self._born_ms = int(time.time() * 1000)
         self._work_s = work_s
         self._running = 0
@@ -67,12 +58,6 @@
         if req.headers.get('x-expect-instance', self.name) != self.name:
             headers.append(('x-instance-id', self.name))
             return http_peer.Response(421, headers=tuple(headers))
-        self.answers += 1
-        if self.is_full:
-            headers.append(('x-not-executed', '1'))
-            return http_peer.Response(
-                503, headers=tuple(headers), has_late_copy=self.doubles(req)
-            )
         self.received.append((request_id, req.received_s))
         self.requests.append(req)
         recent = [
@@ -83,14 +68,6 @@
         if len(recent) >= self.crash_rate_per_s:
             self.server.stop()
             return http_peer.Response(0)
-        if req.path.startswith('/streaming/'):
-            headers += [
-                ('content-type', 'text/event-stream'),
-                ('x-engine-signature', f'{self.name}.{request_id}'),
-            ]
-            return http_peer.Response(
-                200, headers=tuple(headers), chunks=self._events()
-            )
         self._running += 1
         try:
             await asyncio.sleep(self._work_s)
@@ -103,14 +80,9 @@
         body = f'{self.name} answers {request_id}'.encode()
         return http_peer.Response(200, body, tuple(headers))
 
-    async def _events(self) -> AsyncIterator[bytes]:
-        for number in range(1, EVENTS + 1):
-            yield f'id: {number}\ndata: piece {number}\n\n'.encode()
-            await asyncio.sleep(self._work_s / EVENTS)
-
 
 def manifest(version: int = 1, timeout_ms: int = 1000) -> dict[str, Any]:
-    """Return a manifest with a route of each kind to the service."""
+    """Return a manifest with a safe and an unsafe route of the service."""
     return {
         'version': version,
         'routes': [
@@ -126,7 +98,7 @@
                 'max_attempts': 2,
                 'public': True,
             }
-            for kind in ('safe', 'unsafe', 'streaming')
+            for kind in ('safe', 'unsafe')
         ],
         'services': [
             {
