--- a/review/common/plain_service.py
+++ b/review/common/plain_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import time
 from typing import Any
 
@@ -20,17 +19,12 @@
     :ivar received: ids of the requests that ran, with the loop time of their
         arrival.
     :ivar requests: these requests.
-    :ivar is_leaving: whether all answers say that the engine is leaving.
-    :ivar crash_rate_per_s: number of requests in a second from which on the
-        engine crashes.
     """
 
     def __init__(self, name: str, ip: str, work_s: float = 0.03) -> None:
         self.name = name
         self.received: list[tuple[str, float]] = []
         self.requests: list[http_peer.Request] = []
-        self.is_leaving = False
-        self.crash_rate_per_s = math.inf
         self._born_ms = int(time.time() * 1000)
         self._work_s = work_s
         self._running = 0
@@ -53,21 +47,11 @@
     async def _serve(self, req: http_peer.Request) -> http_peer.Response:
         request_id = req.headers.get('x-request-id', '')
         headers = [('x-request-id', request_id)]
-        if self.is_leaving:
-            headers.append(('server-leaving', '1'))
         if req.headers.get('x-expect-instance', self.name) != self.name:
             headers.append(('x-instance-id', self.name))
             return http_peer.Response(421, headers=tuple(headers))
         self.received.append((request_id, req.received_s))
         self.requests.append(req)
-        recent = [
-            when_s
-            for _, when_s in self.received
-            if when_s > req.received_s - 1.0
-        ]
-        if len(recent) >= self.crash_rate_per_s:
-            self.server.stop()
-            return http_peer.Response(0)
         self._running += 1
         try:
             await asyncio.sleep(self._work_s)
