--- a/review/common/deployment.py
+++ b/review/deployment.py
@@ -24,7 +24,7 @@
 import http_peer
 
 HERE = pathlib.Path(__file__).resolve().parent
-ROOT = HERE.parents[1]
+ROOT = HERE.parent
 STORE_PORT = 8223
 ENGINE_PORT = 8228
 ENTRY_PORT = 8227
