--- a/review/deployment.py
+++ b/review/deployment.py
@@ -240,7 +240,7 @@
         file = f'{self._temp.name}/{len(self._processes)}.out'
         with pathlib.Path(file).open('wb') as out:
             process = subprocess.Popen(
-                [sys.executable, '-S', str(HERE / program), *args],
+                [sys.executable, '-S', '-B', str(HERE / program), *args],
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=subprocess.STDOUT,
