--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of all cases. They are Python programs without
-# dependencies, so that it is enough to check that they compile. Nothing is
-# left in this folder, whose only folders are the cases.
+# Builds the stand-ins of all cases, which lie in review/1. They are Python
+# programs without dependencies, so that it is enough to check that they
+# compile. The compiled files are removed again.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 PYTHONPYCACHEPREFIX=$(mktemp -d)
