Log each answer that ends early with the id of its request

What the hypotheses need is logged now: which request, why, when its body was complete, and how long after SIGTERM.

cut: an answer that had begun, with the fields of refused. Both get events, body_s, took_s and stopping_s. The traceback of the server for the same event is left out. Each signal and the closing of the listening socket are logged.

--- a/src/wagtailhollow/internal/daemon/lifecycle.py
+++ b/src/wagtailhollow/internal/daemon/lifecycle.py
@@ -42,7 +42,8 @@
     stop_requested = asyncio.Event()
     immediate_stop_requested = asyncio.Event()
 
-    def on_signal() -> None:
+    def on_signal(number: signal.Signals) -> None:
+        _LOG.info('received %s', number.name)
         (
             immediate_stop_requested
             if stop_requested.is_set()
@@ -50,7 +51,7 @@
         ).set()
 
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal)
+        loop.add_signal_handler(number, on_signal, number)
     if reload is not None:
         loop.add_signal_handler(signal.SIGHUP, reload)
     try:
--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -14,7 +14,13 @@
 from ...platform import headers, prompts
 from ...table import model as table_model
 from .. import calls, requests
-from . import attempts, caller_timeouts, freshness, routed_call
+from . import (
+    attempts,
+    caller_timeouts,
+    freshness,
+    planned_stop,
+    routed_call,
+)
 from . import sink as sink_module
 
 _LOG = logging.getLogger(__name__)
@@ -33,13 +39,14 @@
         directory: state.Directory,
         fresh: freshness.Freshness,
         handler: calls.CallHandler,
+        stop: planned_stop.PlannedStop,
     ) -> None:
         self._directory = directory
         self._freshness = fresh
         self._handler = handler
+        self._stop = stop
         self._caller_timeouts = caller_timeouts.CallerTimeouts()
         self._routes_version: int | None = None
-        self.draining = False
         self.in_progress = 0
 
     async def __call__(
@@ -55,8 +62,9 @@
             send,
             request_id,
             connection.first_header(rows, headers.LAST_EVENT_ID),
-            lambda: self.draining,
+            lambda: self._stop.is_begun,
         )
+        start_s = time.monotonic()
         self.in_progress += 1
         call = None
         try:
@@ -65,7 +73,7 @@
             result = 'ok'
         except errors.Refusal as exc:
             result = exc.kind.value
-            self._log_refusal(request_id, call, exc)
+            self._log_failure(request_id, start_s, call, sink, exc)
             await sink.refuse(exc, call and call.execution)
         except ConnectionError:
             result = 'caller_left'
@@ -97,15 +105,18 @@
                 took_s=round(time.monotonic() - call.arrived_s, 3),
             )
 
-    def _log_refusal(
+    def _log_failure(
         self,
         request_id: bytes,
+        start_s: float,
         call: routed_call.RoutedCall | None,
+        sink: sink_module.DirectSink,
         exc: errors.Refusal,
     ) -> None:
         manifest = self._directory.manifest
+        stopping_s = self._stop.elapsed_s()
         decisions.log(
-            'refused',
+            'cut' if sink.is_started else 'refused',
             request_id=request_id.decode('latin-1'),
             kind=exc.kind.value,
             reason=exc.message,
@@ -113,6 +124,10 @@
             may_have_run=bool(call and call.execution.may_have_run),
             manifest=manifest.version if manifest else None,
             manifest_age_s=round(min(self._freshness.age_s(), 1e6), 2),
+            events=sink.position.events,
+            body_s=call and round(call.body_read_s - start_s, 3),
+            took_s=round(time.monotonic() - start_s, 3),
+            stopping_s=stopping_s and round(stopping_s, 3),
         )
 
     async def _call(
@@ -162,6 +177,7 @@
             prefix='',
             arrived_s=arrived_s,
             deadline_s=arrived_s + allowed_s,
+            body_read_s=time.monotonic(),
             max_attempts=route.max_attempts,
             max_wait_s=caller_timeouts.max_wait_s(route),
             route=route,
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -24,6 +24,7 @@
     app,
     attempts,
     freshness,
+    planned_stop,
     prompt_holds,
     routed_call,
     shares,
@@ -164,7 +165,10 @@
             ),
             self._holds.screen,
         )
-        self._app = app.RoutedApp(self._directory, self._freshness, handler)
+        self._stop = planned_stop.PlannedStop()
+        self._app = app.RoutedApp(
+            self._directory, self._freshness, handler, self._stop
+        )
         limits = http_protocol.ConnectionLimits(
             max_connections=max_caller_connections(cfg.max_files),
             body_timeout_s=15.0,
@@ -223,9 +227,10 @@
 
     async def drain(self) -> None:
         """See :class:`lifecycle.Daemon`."""
-        self._app.draining = True
+        self._stop.begin()
         decisions.log('draining', in_progress=self._app.in_progress)
         await asyncio.sleep(BALANCER_REMOVAL_S)
+        decisions.log('closing', in_progress=self._app.in_progress)
         # Accepting further requests could delay the stop indefinitely: from
         # here on only requests in progress are completed.
         await self._caller_server.stop()
@@ -263,7 +268,7 @@
             follower.suspect_loss()
 
     def _not_ready_reason(self) -> str | None:
-        if self._app.draining:
+        if self._stop.is_begun:
             return 'draining'
         if self._directory.manifest is None:
             return 'no configuration received yet'
--- a/src/wagtailhollow/internal/entry/direct/routed_call.py
+++ b/src/wagtailhollow/internal/entry/direct/routed_call.py
@@ -15,6 +15,7 @@
     """A call with its route and the headers to forward to the target.
 
     :ivar sent_headers: headers of the caller that are forwarded unchanged.
+    :ivar body_read_s: monotonic time at which the body was complete.
     :ivar target_path: path and query as the caller sent them.
     :ivar is_authenticated: whether the call was authenticated by an API key.
     :ivar is_caller_retry: whether the call is a caller's retry, judged from
@@ -27,6 +28,7 @@
     """
 
     route: model.Route = None
+    body_read_s: float = 0.0
     sent_headers: connection.Headers = ()
     target_path: bytes = b'/'
     is_authenticated: bool = False
--- a/src/wagtailhollow/internal/entry/direct/sink.py
+++ b/src/wagtailhollow/internal/entry/direct/sink.py
@@ -10,7 +10,7 @@
 
 from .... import errors
 from ...http1 import connection
-from ...observability import metrics
+from ...observability import decisions, metrics
 from .. import call as call_module
 from . import events
 
@@ -23,6 +23,10 @@
 )
 
 
+class AnswerCut(ConnectionAbortedError, decisions.AlreadyLogged):
+    """An answer has begun and cannot be completed; its connection ends."""
+
+
 @dataclasses.dataclass(frozen=True)
 class BufferedResponse:
     """A complete response, buffered in memory."""
@@ -123,13 +127,13 @@
         """Send an error response, or the fallback if there is one.
 
         :param record: what is known of the execution of the call, if any.
-        :raises ConnectionAbortedError: the response has already started, so
-            the connection has to be cut.
+        :raises AnswerCut: the response has already started, so the connection
+            has to be cut.
         """
         if self.is_finished:
             return
         if self.is_started:
-            raise ConnectionAbortedError(exc.message)
+            raise AnswerCut(exc.message)
         if self.fallback is not None:
             await self.send_response(self.fallback)
             return
--- a/src/wagtailhollow/internal/observability/decisions.py
+++ b/src/wagtailhollow/internal/observability/decisions.py
@@ -68,8 +68,15 @@
             self._dropped += 1
 
 
+class AlreadyLogged(Exception):
+    """Base of exceptions whose event is logged where they are raised."""
+
+
 class LogRecordHandler(logging.Handler):
-    """Writes log records of the standard library as ``message`` events."""
+    """Writes log records of the standard library as ``message`` events.
+
+    Records of an exception that is :class:`AlreadyLogged` are left out.
+    """
 
     def __init__(self, log: DecisionLog) -> None:
         super().__init__()
@@ -79,6 +86,8 @@
     def emit(self, record: logging.LogRecord) -> None:
         """See :class:`logging.Handler`."""
         fields = {'level': record.levelname.lower()}
+        if record.exc_info and isinstance(record.exc_info[1], AlreadyLogged):
+            return
         if record.exc_info:
             fields['exception'] = redact(
                 self._formatter.formatException(record.exc_info)
