--- a/proof/direct_soak.py
+++ b/proof/direct_soak.py
@@ -123,6 +123,21 @@
             if self._process is process:
                 await self.start()
 
+    async def wait(self) -> None:
+        """Wait until the program has ended."""
+        await self._process.wait()
+
+    async def wait_until_ready(self) -> None:
+        """Wait until the program is ready for calls."""
+        async with aiohttp.ClientSession() as session, asyncio.timeout(30):
+            while True:
+                with contextlib.suppress(aiohttp.ClientError):
+                    url = f'http://{self.ip}:8220/readyz'
+                    async with session.get(url) as resp:
+                        if resp.status == 200:
+                            return
+                await asyncio.sleep(0.05)
+
     async def stop(self) -> None:
         """Kill the program."""
         self.signal(signal.SIGKILL)
@@ -221,9 +236,8 @@
             entry = EntryProcess(self._store.server.address, folder)
             self._entries.append(entry)
             await entry.start()
-        async with aiohttp.ClientSession() as session:
-            for entry in self._entries:
-                await _wait_until_ready(session, entry.ip)
+        for entry in self._entries:
+            await entry.wait_until_ready()
 
     async def _stop(self) -> None:
         for entry in self._entries:
@@ -573,16 +587,6 @@
     return asyncio.get_running_loop().time()
 
 
-async def _wait_until_ready(session: aiohttp.ClientSession, ip: str) -> None:
-    async with asyncio.timeout(30):
-        while True:
-            with contextlib.suppress(aiohttp.ClientError):
-                async with session.get(f'http://{ip}:8220/readyz') as resp:
-                    if resp.status == 200:
-                        return
-            await asyncio.sleep(0.05)
-
-
 def main(argv: list[str]) -> None:
     """Run the soaks; the exit code is 1 if a promise was broken."""
     del argv
--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -36,6 +36,7 @@
 EVENT_COUNT = 8
 DRIBBLE_PAUSE_S = 0.2
 HEAD_TO_CRASH_S = 0.02
+ROUTE_TIMEOUT_MS = 3_000
 INTERNAL_PORT = 7340
 SIGNATURE_HEADER = 'x-engine-signature'
 
@@ -208,6 +209,7 @@
     sends a byte of a comment now and then).
 
     :ivar gap_s: time between two events of a stream.
+    :ivar silence_before: further time before the event with a number.
     :ivar retry_after: value of Retry-After in answers with status 503, if any.
     :ivar is_leaving: whether all answers say that the engine is leaving.
     :ivar head_delay_s: time before the head of an answer; a request whose
@@ -228,6 +230,7 @@
         self.behaviours: list[str] = []
         self.received: list[ReceivedRequest] = []
         self.gap_s = 0.0
+        self.silence_before: dict[int, float] = {}
         self.server = Server(
             [
                 routing.Route(
@@ -331,6 +334,7 @@
         first = int(received.headers.get('last-event-id', 0)) + 1
         for number in range(first, EVENT_COUNT + 1):
             event = encoded_event(number)
+            await asyncio.sleep(self.silence_before.get(number, 0.0))
             if behaviour in ('break', 'torn') and number == EVENT_COUNT // 2:
                 yield event[:6]
                 if behaviour == 'torn':
@@ -353,7 +357,9 @@
 
 
 def manifest(
-    version: int = 1, keys: Iterable[str] = (API_KEY,)
+    version: int = 1,
+    keys: Iterable[str] = (API_KEY,),
+    timeout_ms: int = ROUTE_TIMEOUT_MS,
 ) -> dict[str, Any]:
     """Return a manifest with one route of each call kind."""
     kinds = {
@@ -369,7 +375,7 @@
                 'host': HOST_NAME,
                 'path_prefix': f'/{name}/',
                 'kind': kind,
-                'timeout_ms': 3000,
+                'timeout_ms': timeout_ms,
                 'target_latency_ms': 500,
                 'service': service,
                 'max_attempts': 2,
@@ -422,11 +428,18 @@
     :ivar ip: address of the first entry.
     """
 
-    def __init__(self, engines: int = 2, entries: int = 1) -> None:
+    def __init__(
+        self,
+        engines: int = 2,
+        entries: int = 1,
+        timeout_ms: int = ROUTE_TIMEOUT_MS,
+    ) -> None:
         """Create the parts.
 
         :param engines: number of engines of each service.
+        :param timeout_ms: time-out of all routes.
         """
+        self._timeout_ms = timeout_ms
         self.store = ObjectStore()
         self.engines = [
             Engine(f'i-{service}-{number}', service)
@@ -441,7 +454,8 @@
     async def __aenter__(self) -> DirectDeployment:
         """Start all parts and wait until the entry is ready."""
         await self.store.server.start()
-        self.store.put('config', 'main', manifest())
+        document = manifest(timeout_ms=self._timeout_ms)
+        self.store.put('config', 'main', document)
         for engine in self.engines:
             await engine.server.start()
             self.store.put('servers', engine.name, engine.registration())
--- a/tests/cover/test_direct_entry.py
+++ b/tests/cover/test_direct_entry.py
@@ -13,11 +13,14 @@
 """Time without an event after which the platform's callers disconnect."""
 
 
-def run_scenario(scenario):
-    """Run *scenario* on a new in-process deployment."""
+def run_scenario(scenario, **fields):
+    """Run *scenario* on a new in-process deployment.
+
+    :param fields: parameters of the deployment.
+    """
 
     async def run():
-        async with direct_deployment.DirectDeployment() as site:
+        async with direct_deployment.DirectDeployment(**fields) as site:
             await asyncio.wait_for(scenario(site), 20)
 
     asyncio.run(run())
