Refuse calls that a stopping entry cannot complete

What callers saw: streams cut off at the end of a planned stop, among them calls that must run once, with no answer.

Cause: nothing compared the time that a stopping process has left with the time that a call may take. A request whose body was complete late in the grace, a first request of a connection that was just opened, and a call that waited for a target were passed on at any time and cut 7.65 s after SIGTERM. Class of fault: a promise (the call is accepted) without a look at the time in which it can be kept.

Fix: PlannedStop holds the times of a stop. After the notice a call is sent only if its deadline is before the end of calls; the wait for its body ends when this cannot be met any more, with 503 and truly not run. At the end of calls those that are left get an answer (502) unless one has begun. The end of calls counts from SIGTERM, not from the sum of the sleeps before it.

A cancelled retry no longer resets may_have_run of the attempt before it, and cancelling a call ends its work at the target.

--- a/src/wagtailhollow/errors.py
+++ b/src/wagtailhollow/errors.py
@@ -45,6 +45,7 @@
     DEADLINE_EXCEEDED = 'deadline_exceeded'
     ENGINE_FAILED = 'engine_failed'
     PROMPT_HELD = 'prompt_held'
+    ENTRY_STOPPING = 'entry_stopping'
     SLOW_SENDER = 'slow_sender'
     PROTOCOL_VERSION = 'protocol_version'
     BAD_FRAME = 'bad_frame'
@@ -122,6 +123,7 @@
     ErrorKind.DEADLINE_EXCEEDED: Answer(504, _MAY_HAVE_RUN, Retry.LATER),
     ErrorKind.ENGINE_FAILED: Answer(502, _MAY_HAVE_RUN, Retry.LATER),
     ErrorKind.PROMPT_HELD: Answer(503, _NOT_RUN, Retry.LATER),
+    ErrorKind.ENTRY_STOPPING: Answer(503, _NOT_RUN, Retry.LATER),
     ErrorKind.SLOW_SENDER: Answer(408, _NOT_RUN, Retry.LATER),
     ErrorKind.PROTOCOL_VERSION: Answer(426, _NOT_RUN, Retry.NO),
     ErrorKind.BAD_FRAME: Answer(400, _NOT_RUN, Retry.NO),
--- a/src/wagtailhollow/internal/daemon/http.py
+++ b/src/wagtailhollow/internal/daemon/http.py
@@ -21,6 +21,9 @@
 """Time in which connections that are being accepted when the listening socket
 closes get their protocol objects."""
 
+CLOSE_S = 0.1
+"""Time that uvicorn gives connections to close before it waits for answers."""
+
 KEEP_ALIVE_S = 75
 """Longer than load balancers keep idle connections (60 s is common). The side
 that closes first may reset a request that is already on its way, so it should
@@ -65,6 +68,13 @@
     whose clients may have sent their requests already.
     """
 
+    _end_s: float | None = None
+
+    def stop_at(self, graceful_timeout_s: float) -> None:
+        """Set the time from now on for which answers are waited for."""
+        loop = asyncio.get_running_loop()
+        self._end_s = loop.time() + graceful_timeout_s
+
     async def shutdown(
         self, sockets: list[socket.socket] | None = None
     ) -> None:
@@ -80,6 +90,10 @@
         for conn in accepted:
             await loop.connect_accepted_socket(self._new_protocol, conn)
         await asyncio.sleep(ACCEPT_S)
+        if self._end_s is not None:
+            self.config.timeout_graceful_shutdown = max(
+                0.0, self._end_s - loop.time() - CLOSE_S
+            )
         await super().shutdown(sockets)
 
     def _new_protocol(self) -> asyncio.Protocol:
@@ -167,8 +181,14 @@
         ):
             await asyncio.sleep(FLUSH_POLL_S)
 
-    async def stop(self) -> None:
-        """Stop listening and close the connections."""
+    async def stop(self, graceful_timeout_s: float | None = None) -> None:
+        """Stop listening and close the connections.
+
+        :param graceful_timeout_s: how long to wait for answers in progress;
+            None for the time that the server was created with.
+        """
+        if graceful_timeout_s is not None:
+            self._server.stop_at(graceful_timeout_s)
         self._server.should_exit = True
         if self._task is None:
             return
--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -158,9 +158,10 @@
             is_caller_retry = self._caller_timeouts.is_caller_retry(
                 route.name, caller_timeout_s
             )
-        body = await _read_body(
-            receive, manifest.limits.max_body_bytes, allowed_s
-        )
+        async with self._stop.until_latest_start(arrived_s + allowed_s):
+            body = await _read_body(
+                receive, manifest.limits.max_body_bytes, allowed_s
+            )
         service_name = _choose_service(route)
         return routed_call.RoutedCall(
             call_id=call_id,
@@ -237,9 +238,16 @@
         sink: sink_module.DirectSink,
     ) -> None:
         work = asyncio.create_task(self._handler.handle(call, sink))
-        if not await requests.is_done_before_disconnect(work, receive):
-            work.cancel()
-            await asyncio.gather(work, return_exceptions=True)
+        try:
+            async with self._stop.until_calls_end():
+                is_done = await requests.is_done_before_disconnect(
+                    work, receive
+                )
+        finally:
+            if not work.done():
+                work.cancel()
+                await asyncio.gather(work, return_exceptions=True)
+        if not is_done:
             raise ConnectionAbortedError('the caller left')
         await work
 
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -153,7 +153,7 @@
             raise
         except asyncio.CancelledError:
             result = 'cancelled'
-            attempt.call.execution.may_have_run = exchange.is_sent
+            attempt.call.execution.may_have_run |= exchange.is_sent
             raise
         finally:
             self._exchanges.discard(exchange)
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -62,13 +62,8 @@
 RESERVED_FILES = 200
 """File descriptors that are not available for sockets."""
 
-BALANCER_REMOVAL_S = 2.5
-"""Time in which the load balancer in front removes a draining entry: after two
-failed health checks, a second apart. Open connections are closed with the
-response to their next request."""
-
-STOP_MARGIN_S = 0.5
-"""Part of the time until SIGKILL reserved for the exit of the process."""
+LAST_ANSWERS_S = 0.2
+"""Time for writing the answers of the calls that the end of a stop ends."""
 
 MAX_WAIT_S = 3.0
 """Maximum wait of a call for a target; a group that lost a rank serves again
@@ -147,12 +142,13 @@
                 message, (ip,), self._port
             ),
         )
+        self._stop = planned_stop.PlannedStop()
         handler = calls.CallHandler(
             attempts.HttpAttemptRunner(
                 self._connections,
                 self._targets,
                 self._holds,
-                self._check_key_freshness,
+                self._check_before_sending,
             ),
             self._targets,
             None,
@@ -163,9 +159,8 @@
                 max_wait_share=MAX_WAIT_SHARE,
                 new_budget=self._new_budget,
             ),
-            self._holds.screen,
+            self._screen,
         )
-        self._stop = planned_stop.PlannedStop()
         self._app = app.RoutedApp(
             self._directory, self._freshness, handler, self._stop
         )
@@ -177,9 +172,6 @@
             [routing.Mount('/', self._app)],
             cfg.callers_address,
             protocol=http_protocol.bounded_protocol(limits, self._app),
-            graceful_timeout_s=max(
-                0.0, cfg.bounds.grace_s - BALANCER_REMOVAL_S - STOP_MARGIN_S
-            ),
         )
         self._readiness_server = http.HttpServer(
             http.health_and_metrics_routes(self._not_ready_reason),
@@ -227,22 +219,26 @@
 
     async def drain(self) -> None:
         """See :class:`lifecycle.Daemon`."""
-        self._stop.begin()
+        self._stop.begin(
+            planned_stop.StopTimes.within(self._cfg.bounds.grace_s)
+        )
         decisions.log('draining', in_progress=self._app.in_progress)
-        await asyncio.sleep(BALANCER_REMOVAL_S)
+        await asyncio.sleep(self._stop.notice_left_s())
         decisions.log('closing', in_progress=self._app.in_progress)
-        # Accepting further requests could delay the stop indefinitely: from
-        # here on only requests in progress are completed.
-        await self._caller_server.stop()
+        await self._caller_server.stop(
+            self._stop.calls_left_s() + LAST_ANSWERS_S
+        )
 
     async def stop(self) -> None:
         """See :class:`lifecycle.Daemon`."""
         decisions.log('stopping', in_progress=self._app.in_progress)
         for task in self._tasks:
             task.cancel()
-        await self._caller_server.stop()
-        await self._readiness_server.stop()
-        await self._metrics_server.stop()
+        await asyncio.gather(
+            self._caller_server.stop(),
+            self._readiness_server.stop(),
+            self._metrics_server.stop(),
+        )
         self._endpoint.close()
 
     def reconfigure(self, cfg: hostcfg.HostSettings) -> None:
@@ -367,8 +363,14 @@
                 row.age_s,
             )
 
-    def _check_key_freshness(self, call: routed_call.RoutedCall) -> None:
-        """Raise Refusal if the call's key may have been withdrawn."""
+    def _screen(self, call: routed_call.RoutedCall) -> None:
+        """Raise Refusal for a call that no target may get."""
+        self._stop.screen(call)
+        self._holds.screen(call)
+
+    def _check_before_sending(self, call: routed_call.RoutedCall) -> None:
+        """Raise Refusal if the call must not be sent now."""
+        self._stop.screen(call)
         if call.is_authenticated:
             self._freshness.require_fresh_for_keys()
 
--- a/tests/cover/test_silent_targets.py
+++ b/tests/cover/test_silent_targets.py
@@ -39,10 +39,10 @@
 
     async def scenario(site):
         set_silence(site, event_number)
-        handler = site.entry._app._handler
-        handler.retry_budget(direct_deployment.MODEL_SERVICE)._burst = lambda: (
-            0.0
+        budget = site.entry._app._handler.retry_budget(
+            direct_deployment.MODEL_SERVICE
         )
+        budget._burst = lambda: 0.0
         async with site.call('stream', X_Deadline_Ms='20000') as resp:
             assert await resp.read() == direct_deployment.STREAM
         assert site.request_count(direct_deployment.MODEL_SERVICE) == 1
--- a/tests/nocover/test_stop_of_direct_entry.py
+++ b/tests/nocover/test_stop_of_direct_entry.py
@@ -198,8 +198,8 @@
             )
             for route, request_id, deadline, body_at in (
                 ('stream', 'early', 8000, 1.0),
-                ('stream', 'late', 8000, 4.0),
-                ('once', 'late-once', 8000, 4.5),
+                ('stream', 'late', 9500, 4.0),
+                ('once', 'late-once', 9500, 4.5),
             )
         ]
         await asyncio.sleep(0.5)
