Go on with a planned stop when SIGTERM is repeated

What callers saw: streams cut off seconds before the end of the grace.

Cause: a second SIGTERM ended the drain at once, in all programs. Who sends it (an orchestrator that repeats itself, overlapping restarts) does not mean that the time promised to calls is over; SIGKILL would. Class of fault: a repeated message has another effect than the first.

Such a stop still ends within the grace.

SIGINT during a stop ends it at once, for people at a terminal.

--- a/src/wagtailhollow/internal/daemon/lifecycle.py
+++ b/src/wagtailhollow/internal/daemon/lifecycle.py
@@ -34,7 +34,7 @@
 async def run(daemon: Daemon, reload: Callable[[], None] | None = None) -> int:
     """Run until SIGTERM or SIGINT, then drain; return the exit code.
 
-    A second SIGTERM or SIGINT aborts the drain.
+    Further SIGTERMs change nothing; SIGINT aborts a drain.
 
     :param reload: called on SIGHUP; without it SIGHUP ends the process.
     """
@@ -44,11 +44,9 @@
 
     def on_signal(number: signal.Signals) -> None:
         _LOG.info('received %s', number.name)
-        (
-            immediate_stop_requested
-            if stop_requested.is_set()
-            else stop_requested
-        ).set()
+        if number is signal.SIGINT and stop_requested.is_set():
+            immediate_stop_requested.set()
+        stop_requested.set()
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, on_signal, number)
