Test of a planned end: call until the leaving target got a call

Calls now go on until that target has crashed, six at least; all must be whole as before. The scenario's time limit bounds them.

--- a/tests/cover/test_query_of_death.py
+++ b/tests/cover/test_query_of_death.py
@@ -181,10 +181,12 @@
             item.crash_part = ''
         engine.crash_part = FIRST_PART
         engine.is_leaving = True
-        for number in range(6):
+        # Targets without load are chosen at random.
+        for number in itertools.count():
             async with call(site, number, FIRST_PART) as resp:
                 assert await resp.read() == direct_deployment.STREAM
-        assert engine.is_crashed
+            if engine.is_crashed and number >= 5:
+                return
 
     run_scenario(scenario)
 
