Keep a stream of a silent target that nothing can replace

Cause: a stream without an event for the idle time-out was given up first, and only then the entry looked whether another attempt was left: attempts, retry budget, another target with capacity. If not, the answer ended although its target was sound and went on (a stalled group forms again by itself). Class of fault: work is abandoned before its replacement is certain.

Ruled out elsewhere: through agents a stream is silent for 70 s before it is given up, longer than its deadline (by reading).

The same question costs no retry: RetryPolicy.can_spend looks without spending.

--- a/src/wagtailhollow/internal/entry/attempt.py
+++ b/src/wagtailhollow/internal/entry/attempt.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from ... import errors
@@ -50,6 +51,8 @@
     """Parameters of one attempt.
 
     :ivar number: unique among the attempts and resumptions of a call.
+    :ivar can_be_replaced: returns whether another attempt could follow now,
+        if this one was given up after the call was sent.
     """
 
     call: call_module.Call
@@ -58,3 +61,4 @@
     table_version: int
     number: int
     claim: ttypes.ClaimTicket | None = None
+    can_be_replaced: Callable[[], bool] = lambda: True
--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import itertools
 import random
 from collections.abc import Callable
@@ -209,6 +210,16 @@
             await asyncio.sleep(TARGET_POLL_INTERVAL_S)
             self._screen(call)
 
+    def has_other_target(
+        self, call: call_module.Call, candidate: policy.Candidate
+    ) -> bool:
+        """Return whether a target other than *candidate* can take a call."""
+        return any(
+            item.target != candidate.target
+            and self._targets.has_capacity(call, item)
+            for item in self._targets.candidates(call)
+        )
+
     def attempt(
         self,
         call: call_module.Call,
@@ -294,7 +305,12 @@
             candidate = await self._wait_for_target()
             self._tried.add(candidate.target)
             number = next(self._numbers)
-            attempt = self._handler.attempt(self._call, candidate, number)
+            attempt = dataclasses.replace(
+                self._handler.attempt(self._call, candidate, number),
+                can_be_replaced=functools.partial(
+                    self._can_be_replaced, candidate
+                ),
+            )
             try:
                 await self._handler.run_attempt(attempt, sink)
                 return
@@ -338,6 +354,14 @@
             return False
         return self._budget.try_spend()
 
+    def _can_be_replaced(self, candidate: policy.Candidate) -> bool:
+        return (
+            not self._call.must_not_repeat
+            and self._executions + 1 < self._call.max_attempts
+            and self._budget.can_spend()
+            and self._handler.has_other_target(self._call, candidate)
+        )
+
     async def _wait_for_target(self) -> policy.Candidate:
         """Return the next target; wait for a limited time if all are full."""
         loop = asyncio.get_running_loop()
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -273,6 +273,7 @@
         self._is_lost_by_peer = False
         self.is_taken_back = False
         self.call: routed_call.RoutedCall = attempt.call
+        self._can_be_replaced = attempt.can_be_replaced
         self.record = record
         self.is_sent = False
         self.head: connection.Head | None = None
@@ -368,13 +369,16 @@
     ) -> T:
         """Return the first bytes of a stream; raise if none will come.
 
-        A slow engine is waited for as long as its agent reports.
+        A slow engine is waited for as long as its agent reports, or as no
+        other target can take the call.
         """
         task = asyncio.ensure_future(work)
         timeout_s = caller_timeouts.idle_timeout_s(self.call.route, 0.0)
         try:
             await asyncio.wait({task}, timeout=timeout_s)
-            while not task.done() and not view.is_report_overdue(self.record):
+            while not task.done() and not (
+                view.is_report_overdue(self.record) and self._can_be_replaced()
+            ):
                 await asyncio.wait({task}, timeout=REPORT_CHECK_PERIOD_S)
             if not task.done():
                 raise connection.ResponseLost(
@@ -537,7 +541,8 @@
         """Return the next bytes; raise ResponseLost if the stream is idle.
 
         Only a stream that can resume has an idle time-out. It ends with an
-        event and not with any byte, as callers wait for events.
+        event and not with any byte, as callers wait for events. A target that
+        nothing can replace is waited for.
 
         :param event_s: when the last event was relayed.
         """
@@ -545,15 +550,16 @@
             return await conn.read()
         if not self._response_sink.is_started:
             return await self._read_first(conn, view, event_s)
-        idle_s = caller_timeouts.idle_timeout_s(
-            self.call.route, view.pass_s(self.record)
-        )
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(event_s + idle_s - time.monotonic()):
-                return await conn.read()
-        raise connection.ResponseLost(
-            f'the stream had no event for {idle_s:.1f} s'
-        )
+        while True:
+            idle_s = caller_timeouts.idle_timeout_s(
+                self.call.route, view.pass_s(self.record)
+            )
+            with contextlib.suppress(TimeoutError):
+                async with self._patience(
+                    event_s + idle_s,
+                    f'the stream had no event for {idle_s:.1f} s',
+                ):
+                    return await conn.read()
 
     async def _read_first(
         self,
@@ -566,13 +572,25 @@
         :param head_s: when the head of the answer arrived.
         """
         limit_s = caller_timeouts.event_timeout_s(self.call.route)
-        try:
-            async with asyncio.timeout(head_s + limit_s - time.monotonic()):
-                return await self._wait_unless_silent(conn.read(), view)
-        except TimeoutError as exc:
-            raise connection.ResponseLost(
-                f'no event within {limit_s:.1f} s of the head'
-            ) from exc
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with self._patience(
+                    head_s + limit_s,
+                    f'no event within {limit_s:.1f} s of the head',
+                ):
+                    return await self._wait_unless_silent(conn.read(), view)
+
+    def _patience(self, until_s: float, message: str) -> asyncio.Timeout:
+        """Return a time-out for the next bytes of a stream.
+
+        :param until_s: monotonic time from which the target is given up if
+            another can take the call.
+        :raises ResponseLost: with *message*, if that is so now.
+        """
+        left_s = until_s - time.monotonic()
+        if left_s <= 0 and self._can_be_replaced():
+            raise connection.ResponseLost(message)
+        return asyncio.timeout(max(left_s, REPORT_CHECK_PERIOD_S))
 
     def _validate_success(self, head: connection.Head) -> None:
         """Raise AttemptFailed if a success has no receipt or is encoded.
--- a/src/wagtailhollow/internal/retries/budget.py
+++ b/src/wagtailhollow/internal/retries/budget.py
@@ -39,8 +39,11 @@
     def record_first_attempt(self) -> None:
         """Count a first attempt."""
 
+    def can_spend(self) -> bool:
+        """Return whether one retry could be made now, without spending it."""
+
     def try_spend(self) -> bool:
-        """Return whether one retry may be made now."""
+        """Spend one retry; return False if the budget is used up."""
 
 
 def retry_policy(name: str):
@@ -80,16 +83,20 @@
         self._refill()
         self._idle_tokens = max(0.0, self._idle_tokens - self._ratio)
 
-    def try_spend(self) -> bool:
-        """Spend one retry; return False if the budget is used up."""
+    def can_spend(self) -> bool:
+        """See :class:`RetryPolicy`."""
         self._refill()
+        return max(self._tokens, self._idle_tokens) >= 1
+
+    def try_spend(self) -> bool:
+        """See :class:`RetryPolicy`."""
+        if not self.can_spend():
+            return False
         if self._tokens >= 1:
             self._tokens -= 1
-            return True
-        if self._idle_tokens >= 1:
+        else:
             self._idle_tokens -= 1
-            return True
-        return False
+        return True
 
     def _refill(self) -> None:
         now_s = self._clock()
@@ -130,11 +137,15 @@
         self._calls.append(self._clock())
         self._drop_expired()
 
-    def try_spend(self) -> bool:
-        """Spend one retry; return False if the budget is used up."""
+    def can_spend(self) -> bool:
+        """See :class:`RetryPolicy`."""
         self._drop_expired()
         allowed = self._ratio * len(self._calls) + self._burst()
-        if len(self._retries) + 1 > allowed:
+        return len(self._retries) + 1 <= allowed
+
+    def try_spend(self) -> bool:
+        """See :class:`RetryPolicy`."""
+        if not self.can_spend():
             return False
         self._retries.append(self._clock())
         return True
@@ -156,6 +167,10 @@
     def record_first_attempt(self) -> None:
         """See :class:`RetryPolicy`."""
 
+    def can_spend(self) -> bool:
+        """See :class:`RetryPolicy`."""
+        return True
+
     def try_spend(self) -> bool:
         """See :class:`RetryPolicy`."""
         return True
@@ -171,6 +186,10 @@
     def record_first_attempt(self) -> None:
         """See :class:`RetryPolicy`."""
 
+    def can_spend(self) -> bool:
+        """See :class:`RetryPolicy`."""
+        return False
+
     def try_spend(self) -> bool:
         """See :class:`RetryPolicy`."""
         return False
