Read the store past objects that cannot be read

What callers saw: calls to an engine that had left, some of them lost, after another writer left one odd entry among those of the engines.

Cause: a page of the store was decoded by one json.loads. A number of 5,000 digits or bytes that are not UTF-8 made the whole page an outage, and a value nested too deeply raised RecursionError, which ended the task that follows the list for good; the process went on with what it knew and said that it was ready. A port out of range passed the check and made each call to it an internal error. Class of fault: input of a third party judged as a whole, and a background task whose end is only logged.

Fix: a page that json.loads rejects is split into its objects, which are decoded one by one; what cannot be read is the object's spec or one field of its metadata, and the object counts as removed. A withdrawal holds by its name alone. A follower that meets any other exception logs it, lists anew, and the entry is not ready until that worked.

The same cause elsewhere: reports of engines (RecursionError, fixed here); the settings file is TOML and bounded; the product's own store client is in http_store (not examined).

--- a/src/wagtailhollow/internal/directory/follow.py
+++ b/src/wagtailhollow/internal/directory/follow.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import logging
 import random
 import time
 from collections.abc import Callable, Mapping
@@ -12,6 +13,8 @@
 from ..observability import decisions
 from . import changes
 
+_LOG = logging.getLogger(__name__)
+
 T = TypeVar('T')
 
 RETRY_MIN_S = 0.1
@@ -56,6 +59,8 @@
 
     :ivar confirmed_s: latest time, by :func:`suspend_aware_now`, at which the
         copy is known to have been current.
+    :ivar is_broken: whether following failed for a reason other than the
+        source, and has not succeeded since.
     """
 
     def __init__(
@@ -86,6 +91,7 @@
         self._failing_since_s: float | None = None
         self._outage_ended_s = -LAPSE_WINDOW_S
         self.confirmed_s: float | None = None
+        self.is_broken = False
 
     def age_s(self) -> float:
         """Return the time since the copy was last known to be current."""
@@ -115,13 +121,20 @@
             try:
                 await self._read_or_watch()
                 pause_s = RETRY_MIN_S
+                self.is_broken = False
+                continue
             except changes.HistoryGone:
                 decisions.log('history_gone', kind=self._kind)
                 self._revision = None
+                continue
             except changes.SourceUnavailable as exc:
                 self._record_failure(exc)
-                await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
-                pause_s = min(pause_s * 2, RETRY_MAX_S)
+            except Exception:
+                _LOG.exception('following %s failed', self._kind)
+                self.is_broken = True
+                self._revision = None
+            await asyncio.sleep(pause_s * random.uniform(0.7, 1.3))
+            pause_s = min(pause_s * 2, RETRY_MAX_S)
 
     async def _read_or_watch(self) -> None:
         requested_s = suspend_aware_now()
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -272,6 +272,8 @@
             return 'no targets registered yet'
         if not self._freshness.may_accept_keys:
             return 'the configuration may be outdated'
+        if any(follower.is_broken for follower in self._followers):
+            return 'the store has data that cannot be followed'
         return None
 
     def _agent_ips(self) -> set[str]:
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -149,7 +149,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, conn = await loop.create_connection(cls, host, int(port))
-        except (OSError, TimeoutError, ValueError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             raise ConnectFailed(f'{address}: {exc!r}') from exc
         return conn
 
--- a/src/wagtailhollow/internal/platform/engine.py
+++ b/src/wagtailhollow/internal/platform/engine.py
@@ -139,6 +139,7 @@
             connection.ResponseLost,
             TimeoutError,
             ValueError,
+            RecursionError,
         ) as exc:
             raise model.EngineUnavailable(
                 f'{path}: no usable response: {exc!r}'
--- a/src/wagtailhollow/internal/platform/store.py
+++ b/src/wagtailhollow/internal/platform/store.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import urllib.parse
 from collections.abc import Callable, Mapping
 from typing import Any, Generic, TypeVar
@@ -10,6 +9,7 @@
 from ..directory import changes
 from ..http1 import client, connection
 from ..observability import decisions
+from . import pages
 
 T = TypeVar('T')
 
@@ -103,7 +103,7 @@
             # The revision of the first page, so that the first watch returns
             # the changes made while the pages were read.
             if revision is None:
-                revision = int(page['store_revision'])
+                revision = page['store_revision']
             if not page.get('has_more'):
                 return changes.Listing(documents, revision)
             if query == last_query:
@@ -120,9 +120,11 @@
         )
         documents: dict[str, T | None] = {}
         for event in page.get('events', ()):
-            name, document = self._decode_object(event['object'])
-            documents[name] = None if event.get('removed') else document
-        return changes.Changes(documents, int(page['store_revision']))
+            name, document = self._decode_object(_field(event, 'object'))
+            is_removed = bool(_field(event, 'removed'))
+            if name:
+                documents[name] = None if is_removed else document
+        return changes.Changes(documents, page['store_revision'])
 
     def _decode_object(self, item: Any) -> tuple[str, T | None]:
         # Objects written by other clients may have any structure.
@@ -138,7 +140,7 @@
             return '', None
         try:
             revision = int(metadata['revision'])
-            return name, self._decode(name, revision, item['spec'])
+            return name, self._decode(name, revision, item.get('spec'))
         except (
             KeyError,
             TypeError,
@@ -155,19 +157,26 @@
             return name, None
 
 
+def _field(row: Any, name: str) -> Any:
+    return row.get(name) if isinstance(row, dict) else None
+
+
 def _decode_response(kind: str, status: int, body: bytes) -> Mapping[str, Any]:
     if status == 410:
         raise changes.HistoryGone(kind)
     if status != 200:
         raise changes.SourceUnavailable(f'{kind}: unexpected status {status}')
     try:
-        document = json.loads(body)
+        document = pages.decode(body)
     except ValueError as exc:
         raise changes.SourceUnavailable(
             f'{kind}: response is not JSON: {exc}'
         ) from exc
-    if not isinstance(document, dict) or 'store_revision' not in document:
+    if not isinstance(_field(document, 'store_revision'), int):
         raise changes.SourceUnavailable(
             f'{kind}: response without store_revision'
         )
+    for name in ('items', 'events'):
+        if not isinstance(document.get(name, []), list):
+            raise changes.SourceUnavailable(f'{kind}: {name} is not a list')
     return document
