Bound the bytes of answers over all connections

Bodies could: each connection was bounded, their sum was not. A read took up to 256 KB, 64 KB stayed unread, the caller's connection buffered what was written to it, an incomplete event up to 256 KB.

Fix: a budget of a tenth of the memory in the settings for the bytes of answers that are unread, buffered whole or part of an event. Beyond it, connections that hold bytes stop reading, the others read 2 KB, answers are relayed at once, and an event over 8 KB is given up. Reads of an answer take 16 KB, and the caller's connection buffers what was written last only.

After: test_endless_bodies, four kinds with 200 callers and one with 800, within 128 MB, and a call of a sound engine is answered beside them.

The transport of test_bytes_properties has the method for write limits now.

--- a/proof/direct_soak.py
+++ b/proof/direct_soak.py
@@ -123,6 +123,12 @@
             if self._process is process:
                 await self.start()
 
+    def peak_bytes(self) -> int:
+        """Return the most memory that the program has had resident."""
+        status = pathlib.Path(f'/proc/{self._process.pid}/status').read_text()
+        (line,) = [x for x in status.splitlines() if x.startswith('VmHWM:')]
+        return int(line.split()[1]) * 1024
+
     async def wait(self) -> None:
         """Wait until the program has ended."""
         await self._process.wait()
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -10,7 +10,7 @@
 
 from .... import errors
 from ...directory import model
-from ...http1 import connection, pool
+from ...http1 import byte_budget, connection, pool
 from ...observability import decisions
 from ...platform import headers
 from ..attempt import Attempt, AttemptFailed, Phase
@@ -45,6 +45,10 @@
 """Period of the check whether the load reports of an unresponsive target are
 overdue; shorter than the agents' report period of 0.15 s."""
 
+SCARCE_EVENT_BYTES = 8 * 1024
+"""Size of an incomplete event from which its stream is given up while the
+budget for the bytes of answers is exceeded."""
+
 LOGGED_PARTS = 8
 """Parts of a prompt that the log line of a failed attempt names."""
 
@@ -102,13 +106,16 @@
         view: targets.DirectTargets,
         holds: prompt_holds.PromptHolds,
         check: Callable[[routed_call.RoutedCall], None],
+        budget: byte_budget.ByteBudget,
     ) -> None:
         """Create a runner.
 
         :param holds: learns which prompts are answered and which are suspects
             of the end of a target.
         :param check: raises Refusal if the call must not be sent now.
+        :param budget: bounds the bytes of all answers together.
         """
+        self._budget = budget
         self._connections = connections
         self._targets = view
         self._holds = holds
@@ -130,7 +137,9 @@
                 'the target is not in service any more',
             )
         response_sink.set_data_centre(record.data_centre)
-        exchange = _Exchange(attempt, record, response_sink, self._holds)
+        exchange = _Exchange(
+            attempt, record, response_sink, self._holds, self._budget
+        )
         start_s = time.monotonic()
         self._targets.started(record)
         self._exchanges.add(exchange)
@@ -266,8 +275,11 @@
         record: model.TargetRecord,
         response_sink: sink.DirectSink,
         holds: prompt_holds.PromptHolds,
+        budget: byte_budget.ByteBudget,
     ) -> None:
         self._holds = holds
+        self._budget = budget
+        self._partial = byte_budget.Holder(budget)
         self._conn: connection.HttpConnection | None = None
         self._is_answered = False
         self._is_lost_by_peer = False
@@ -345,6 +357,8 @@
                 self.is_sent = False
                 _fail(Phase.REFUSED, errors.ErrorKind.NO_TARGET, str(exc))
             self.fail(errors.ErrorKind.ANSWER_INCOMPLETE, str(exc))
+        finally:
+            self._partial.hold(0)
 
     async def _fetch_head(
         self, conn: connection.HttpConnection, view: targets.DirectTargets
@@ -522,6 +536,7 @@
                 raise connection.ResponseLost(
                     f'event too long: {exc}'
                 ) from exc
+            self._hold_partial_event()
             if (complete or not data) and not self._response_sink.is_started:
                 await self._response_sink.start(head.status, rows)
             if complete:
@@ -532,6 +547,14 @@
                 await self._response_sink.finish()
                 return
 
+    def _hold_partial_event(self) -> None:
+        size = self.position.partial_bytes
+        self._partial.hold(size)
+        if size > SCARCE_EVENT_BYTES and self._budget.is_exceeded:
+            raise connection.ResponseLost(
+                f'an event of over {size} bytes, and memory is short'
+            )
+
     async def _read_chunk(
         self,
         conn: connection.HttpConnection,
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -13,7 +13,7 @@
 from ...datagram import endpoint, load_rows, messages
 from ...directory import follow, model, state
 from ...hostcfg import model as hostcfg
-from ...http1 import pool
+from ...http1 import byte_budget, pool
 from ...observability import decisions
 from ...platform import manifest, store
 from ...platform import targets as registrations
@@ -59,6 +59,9 @@
 http_protocol.MAX_EXCESS_CONNECTIONS more are served as well, and any beyond
 these are aborted. The rest is for connections to targets."""
 
+ANSWERS_MEMORY_SHARE = 0.1
+"""Share of the memory for bytes of answers that wait for their callers."""
+
 RESERVED_FILES = 200
 """File descriptors that are not available for sockets."""
 
@@ -128,7 +131,10 @@
             cfg.bounds.is_revocation_strict,
             cfg.bounds.apply_s,
         )
-        self._connections = pool.ConnectionPool()
+        budget = byte_budget.ByteBudget(
+            cfg.memory_bytes * ANSWERS_MEMORY_SHARE
+        )
+        self._connections = pool.ConnectionPool(budget)
         self._directory.target_listeners.append(self._targets_changed)
         self._shares = shares.EntryShares(
             cfg.ip, lambda: len(self._directory.all_targets())
@@ -149,6 +155,7 @@
                 self._targets,
                 self._holds,
                 self._check_before_sending,
+                budget,
             ),
             self._targets,
             None,
--- a/src/wagtailhollow/internal/entry/direct/events.py
+++ b/src/wagtailhollow/internal/entry/direct/events.py
@@ -57,6 +57,11 @@
             if not self._is_duplicate(event)
         )
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return how many bytes of an incomplete event are kept."""
+        return len(self._partial)
+
     def remainder(self) -> bytes:
         """Return the bytes after the last complete event."""
         return bytes(self._partial)
--- a/src/wagtailhollow/internal/entry/http_protocol.py
+++ b/src/wagtailhollow/internal/entry/http_protocol.py
@@ -83,6 +83,7 @@
         self._is_in_head = True
         self._head_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
+        transport.set_write_buffer_limits(high=0)
         excess = len(self.connections) - self.limits.max_connections
         if excess > MAX_EXCESS_CONNECTIONS:
             self._is_refused = True
--- a/src/wagtailhollow/internal/hostcfg/model.py
+++ b/src/wagtailhollow/internal/hostcfg/model.py
@@ -11,6 +11,10 @@
 """File descriptors that are assumed if the settings state none."""
 
 
+DEFAULT_MEMORY_BYTES = 128 * 1024 * 1024
+"""Memory that is assumed if the settings state none."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Bounds:
     """Time-outs, ratios and other bounds set by the deployment.
@@ -61,6 +65,7 @@
         deployment.
     :ivar link_bytes_per_s: bandwidth of the host's own link.
     :ivar max_files: file descriptors that the process may open.
+    :ivar memory_bytes: memory that the process may use.
     :ivar target_address: address of the engine on the same host, or empty.
     """
 
@@ -78,3 +83,4 @@
     bounds: Bounds
     link_bytes_per_s: float = DEFAULT_LINK_BYTES_PER_S
     max_files: int = DEFAULT_MAX_FILES
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -18,9 +18,14 @@
 
 import httptools
 
-PAUSE_BYTES = 64 * 1024
+from . import byte_budget
+
+PAUSE_BYTES = 16 * 1024
 """Unread body bytes above which the transport stops reading."""
 
+_READ_BUFFER = memoryview(bytearray(byte_budget.READ_BYTES))
+"""Shared by all connections: what is in it is parsed before the next read."""
+
 UNACKED_TIMEOUT_MS = 1_500
 """TCP_USER_TIMEOUT: the connection is closed if sent data is not acknowledged
 for this time. Below the 2 s after which the client of a stream gives up."""
@@ -108,7 +113,7 @@
     return b'\r\n'.join(lines) + b'\r\n\r\n'
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """One connection, without pipelining: one request at a time.
 
     :ivar idle_timeout_s: time-out of the peer's Keep-Alive header, or None.
@@ -116,7 +121,13 @@
     :ivar is_closed_by_peer: whether the peer has closed or reset it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, budget: byte_budget.ByteBudget | None = None) -> None:
+        """Create an unconnected connection.
+
+        :param budget: bounds the bytes of all answers together.
+        """
+        self._budget = budget or byte_budget.ByteBudget()
+        self._unread = byte_budget.Holder(self._budget)
         self.idle_timeout_s: float | None = None
         self.idle_since_s = 0.0
         self._transport: asyncio.Transport | None = None
@@ -142,13 +153,20 @@
         self._is_framed = False
 
     @classmethod
-    async def open(cls, address: str, timeout_s: float) -> HttpConnection:
+    async def open(
+        cls,
+        address: str,
+        timeout_s: float,
+        budget: byte_budget.ByteBudget | None = None,
+    ) -> HttpConnection:
         """Connect to ``host:port``; raises ConnectFailed."""
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
-                _, conn = await loop.create_connection(cls, host, int(port))
+                _, conn = await loop.create_connection(
+                    lambda: cls(budget), host, int(port)
+                )
         except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             raise ConnectFailed(f'{address}: {exc!r}') from exc
         return conn
@@ -166,6 +184,7 @@
     def close(self) -> None:
         """Abort the connection and with it any request in progress."""
         self._state = _State.BROKEN
+        self._unread.hold(0)
         if self._transport is not None:
             self._transport.abort()
 
@@ -203,6 +222,7 @@
         data = b''.join(self._body_chunks)
         self._body_chunks.clear()
         self._buffered_bytes = 0
+        self._unread.hold(0)
         if self._state is _State.BODY:
             self._transport.resume_reading()
         return data
@@ -220,15 +240,21 @@
     async def read_up_to(self, size: int) -> tuple[bytes, bool]:
         """Return the first bytes of the body and whether they are all of it.
 
-        Reads until the body is complete or longer than *size*.
+        Reads until the body is complete or longer than *size*, or until the
+        budget of all connections is exceeded.
 
         :raises ResponseLost: the body was truncated.
         """
         body = bytearray()
-        while data := await self.read():
-            body += data
-            if len(body) > size:
-                return bytes(body), False
+        holder = byte_budget.Holder(self._budget)
+        try:
+            while data := await self.read():
+                body += data
+                holder.hold(len(body))
+                if len(body) > size or self._budget.is_exceeded:
+                    return bytes(body), False
+        finally:
+            holder.hold(0)
         return bytes(body), True
 
     def _finish_response(self) -> None:
@@ -273,8 +299,19 @@
         ):
             sock.setsockopt(level, option, value)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """See :class:`asyncio.BufferedProtocol`."""
+        # The head of an answer and the start of its body come in one read.
+        if self._head is None and (self._is_skipped or self._skipped_bytes):
+            return _READ_BUFFER
+        return _READ_BUFFER[: self._budget.read_bytes()]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """See :class:`asyncio.BufferedProtocol`."""
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
-        """See :class:`asyncio.Protocol`."""
+        """Parse received bytes."""
         if self._state is _State.IDLE:
             # Data without a pending request: a duplicate response or garbage.
             self.fail('data received without a pending request')
@@ -293,7 +330,9 @@
                 or self._skipped_bytes > MAX_SKIPPED_BYTES
             ):
                 self.fail('the peer sends bytes that are no response')
-            elif self._buffered_bytes > PAUSE_BYTES:
+            elif self._buffered_bytes > PAUSE_BYTES or (
+                self._buffered_bytes and self._budget.is_exceeded
+            ):
                 self._transport.pause_reading()
             self._wake_waiter()
 
@@ -381,6 +420,7 @@
             return
         self._body_chunks.append(data)
         self._buffered_bytes += len(data)
+        self._unread.hold(self._buffered_bytes)
 
     def on_message_complete(self) -> None:
         """Mark the response as complete."""
--- a/src/wagtailhollow/internal/http1/pool.py
+++ b/src/wagtailhollow/internal/http1/pool.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from . import connection
+from . import byte_budget, connection
 
 Incarnation = tuple[str, int]
 
@@ -24,7 +24,12 @@
 class ConnectionPool:
     """Idle connections from one entry to its targets."""
 
-    def __init__(self) -> None:
+    def __init__(self, budget: byte_budget.ByteBudget | None = None) -> None:
+        """Create a pool.
+
+        :param budget: bounds the bytes of all answers together.
+        """
+        self._budget = budget
         self._idle: dict[Incarnation, list[connection.HttpConnection]] = {}
 
     async def acquire(
@@ -43,7 +48,9 @@
             if conn.is_usable and now_s - conn.idle_since_s < reuse_limit_s:
                 return conn
             conn.close()
-        return await connection.HttpConnection.open(address, CONNECT_TIMEOUT_S)
+        return await connection.HttpConnection.open(
+            address, CONNECT_TIMEOUT_S, self._budget
+        )
 
     def release(
         self, incarnation: Incarnation, conn: connection.HttpConnection
--- a/src/wagtailhollow/internal/platform/settings.py
+++ b/src/wagtailhollow/internal/platform/settings.py
@@ -12,6 +12,7 @@
 
 PATH_VARIABLE = 'WAGTAILHOLLOW_CONFIG'
 _BYTES_PER_MEGABIT = 1_000_000 / 8
+_BYTES_PER_MEGABYTE = 1024 * 1024
 
 
 class SettingsError(ValueError):
@@ -62,6 +63,7 @@
         bounds=_decode_bounds(row['bounds']),
         link_bytes_per_s=_decode_link(limits),
         max_files=_decode_files(limits),
+        memory_bytes=_decode_memory(limits),
     )
 
 
@@ -74,6 +76,15 @@
     return row['link_mbps'] * _BYTES_PER_MEGABIT
 
 
+def _decode_memory(row: Mapping[str, Any]) -> int:
+    """Return the memory in bytes; raises ValueError."""
+    if 'memory_mb' not in row:
+        return model.DEFAULT_MEMORY_BYTES
+    if row['memory_mb'] <= 0:
+        raise ValueError('limits.memory_mb must be positive')
+    return int(row['memory_mb'] * _BYTES_PER_MEGABYTE)
+
+
 def _decode_files(row: Mapping[str, Any]) -> int:
     """Return the file descriptors; raises ValueError."""
     files = row.get('max_fds', model.DEFAULT_MAX_FILES)
--- a/tests/cover/test_bytes_properties.py
+++ b/tests/cover/test_bytes_properties.py
@@ -37,6 +37,9 @@
     def setsockopt(self, *args):
         pass
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
     def getsockname(self):
         return '127.0.0.1', 1
 
