Soak: repeat SIGTERM, and send bodies with pauses

A new series sends SIGTERM twice more to an entry that stops, and a third of the calls send their bodies with a pause of up to 2 s.

--- a/proof/direct_soak.py
+++ b/proof/direct_soak.py
@@ -21,7 +21,13 @@
 import signal
 import sys
 import tempfile
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterable,
+    Iterator,
+)
 
 import aiohttp
 from absl import app, flags
@@ -111,13 +117,22 @@
         with contextlib.suppress(ProcessLookupError):
             self._process.send_signal(number)
 
-    async def restart(self, number: signal.Signals) -> None:
+    async def restart(
+        self, number: signal.Signals, again_after_s: Iterable[float] = ()
+    ) -> None:
         """End the program by a signal and start it again.
 
         Series overlap: one signal ends the program, and it is started once.
+
+        :param again_after_s: pauses after which the signal is repeated while
+            the program goes on.
         """
         process = self._process
         self.signal(number)
+        for pause_s in again_after_s:
+            await asyncio.sleep(pause_s)
+            if process.returncode is None:
+                process.send_signal(number)
         await process.wait()
         async with self._starting:
             if self._process is process:
@@ -295,8 +310,9 @@
                 parts = [f'aa{rng.randrange(12)}']
                 if route == 'stream' and rng.random() < 0.15:
                     parts.append(CRASH_PART)
+                pause_s = rng.choice((0.0, 0.0, rng.uniform(0.0, 2.0)))
                 self._outcomes.append(
-                    await self._call(session, entry, route, parts)
+                    await self._call(session, entry, route, parts, pause_s)
                 )
                 await asyncio.sleep(rng.uniform(0.0, 0.1))
 
@@ -306,7 +322,9 @@
         entry: EntryProcess,
         route: str,
         parts: list[str],
+        pause_s: float,
     ) -> Outcome:
+        """Send one call; its body comes with a pause if there is any."""
         number = next(self._numbers)
         found = Outcome(f'r{number}', route, entry.ip, _now_s(), 0.0, 0)
         prompt = ','.join(f'{part}:40' for part in [*parts, f'{number:x}'])
@@ -323,6 +341,7 @@
                     'X-Deadline-Ms': '2500',
                     'X-Prompt-Prefix': prompt,
                 },
+                data=_slow_body(pause_s) if pause_s else None,
                 timeout=aiohttp.ClientTimeout(total=6.0, connect=1.0),
             ) as resp:
                 signature = resp.headers.get(
@@ -532,6 +551,14 @@
     soak.disturb(entry)
 
 
+@_fault
+async def _terminate_again(soak: Soak) -> None:
+    entry = soak.random_entry()
+    pauses_s = [soak.uniform(0.1, 2.0) for _ in range(2)]
+    await entry.restart(signal.SIGTERM, pauses_s)
+    soak.disturb(entry)
+
+
 @_fault
 async def _freeze_entry(soak: Soak) -> None:
     entry = soak.random_entry()
@@ -589,6 +616,12 @@
     soak.new_manifest()
 
 
+async def _slow_body(pause_s: float) -> AsyncIterator[bytes]:
+    yield b'{'
+    await asyncio.sleep(pause_s)
+    yield b'}'
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
