Read-through: reasons and types of the new code

Why the write buffer of callers is off, the types of the page decoder, and why a call that may have run is not refused at a stop. No change of behaviour.

--- a/src/wagtailhollow/internal/entry/direct/planned_stop.py
+++ b/src/wagtailhollow/internal/entry/direct/planned_stop.py
@@ -85,8 +85,8 @@
     def screen(self, call: routed_call.RoutedCall) -> None:
         """Raise Refusal if it is too late to send a call for the first time.
 
-        A call that may have run goes on: that it is ended later takes nothing
-        from its caller.
+        A call that may have run goes on, as refusing it would say less about
+        it than its answer.
         """
         if (
             not call.execution.may_have_run
--- a/src/wagtailhollow/internal/entry/http_protocol.py
+++ b/src/wagtailhollow/internal/entry/http_protocol.py
@@ -83,6 +83,8 @@
         self._is_in_head = True
         self._head_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
+        # What a slow caller has not read waits at the target's connection,
+        # where it is counted.
         transport.set_write_buffer_limits(high=0)
         excess = len(self.connections) - self.limits.max_connections
         if excess > MAX_EXCESS_CONNECTIONS:
--- a/src/wagtailhollow/internal/platform/pages.py
+++ b/src/wagtailhollow/internal/platform/pages.py
@@ -10,7 +10,7 @@
 
 import json
 import re
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 UNREADABLE = object()
@@ -61,7 +61,9 @@
         return UNREADABLE
 
 
-def _decode_members(text: bytes, decoders: Mapping[str, Any]) -> Any:
+def _decode_members(
+    text: bytes, decoders: Mapping[str, Callable[[bytes], Any]]
+) -> dict[str, Any]:
     """Decode an object member by member.
 
     :param decoders: functions for the members that are not decoded whole.
