Test of callers that keep to no limit

Cause: the entry counts the bytes of a head only. Trailers are neither counted nor timed, a body is held whole whatever others hold, and the lines of a head cost many times their bytes.

--- a/proof/direct_soak.py
+++ b/proof/direct_soak.py
@@ -21,12 +21,14 @@
 import signal
 import sys
 import tempfile
+import types
 from collections.abc import (
     AsyncIterator,
     Awaitable,
     Callable,
     Iterable,
     Iterator,
+    Mapping,
 )
 
 import aiohttp
@@ -84,11 +86,21 @@
 class EntryProcess:
     """An entry as a process."""
 
-    def __init__(self, store: str, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        store: str,
+        folder: pathlib.Path,
+        limits: Mapping[str, float] = types.MappingProxyType({}),
+    ) -> None:
+        """Write the settings of a program that has not started.
+
+        :param limits: limits of the host, by their names in the settings.
+        """
         self.ip = direct_deployment.unused_ip()
         self._file = folder / f'{self.ip}.toml'
         self._log = folder / f'{self.ip}.log'
         rows = direct_deployment.host_settings(store, self.ip)
+        rows['limits'] = dict(limits)
         self._file.write_text('\n'.join(_toml_lines(rows)))
         self._process: asyncio.subprocess.Process | None = None
         self._starting = asyncio.Lock()
@@ -144,6 +156,15 @@
         (line,) = [x for x in status.splitlines() if x.startswith('VmHWM:')]
         return int(line.split()[1]) * 1024
 
+    def open_files(self) -> int:
+        """Return how many file descriptors the program has open."""
+        return len(os.listdir(f'/proc/{self._process.pid}/fd'))
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the program has not ended since its start."""
+        return self._process.returncode is None
+
     async def wait(self) -> None:
         """Wait until the program has ended."""
         await self._process.wait()
