Follow the store into a new era

Cause: entries ordered manifests by revision and went on with a watch whatever the store had been restored from. After a store came back from an older copy, a newer manifest with a lower revision was ignored for good, a watch went on in another history, and registrations of the copy undid what targets had said. Ruled out: comparing revisions across eras, as they are given out again. Change: the era in the store's answers is compared with that of the last listing; another one ends the watch and the kind is listed anew. Manifests of another era are ordered by version, targets that leave go on to leave, those that were gone are used once written again, missing withdrawals hold for 5 s.

--- a/src/wagtailhollow/internal/directory/changes.py
+++ b/src/wagtailhollow/internal/directory/changes.py
@@ -20,10 +20,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Listing(Generic[T]):
-    """All documents of one kind, by name, as of a revision."""
+    """All documents of one kind, by name, as of a revision.
+
+    :ivar era: number that changes when the store has come back from an older
+        copy. Revisions of two eras cannot be compared.
+    """
 
     documents: Mapping[str, T]
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,5 +56,6 @@
         An answer without changes comes no sooner than *wait_s* after the
         call.
 
-        :raises HistoryGone: all documents have to be read again.
+        :raises HistoryGone: all documents have to be read again, also since
+            the era is not that of the last listing.
         """
--- a/src/wagtailhollow/internal/directory/follow.py
+++ b/src/wagtailhollow/internal/directory/follow.py
@@ -46,12 +46,18 @@
 
     :ivar is_listing: *documents* holds all documents, not only changed ones.
     :ivar after_outage: the update follows an outage of the store.
+    :ivar era: see :class:`changes.Listing`.
+    :ivar is_older_copy: the first listing since the store came back from an
+        older copy: what was changed last may be missing from it, until those
+        who changed it have written it again.
     """
 
     documents: Mapping[str, T | None]
     revision: int
     is_listing: bool
     after_outage: bool
+    era: int = 0
+    is_older_copy: bool = False
 
 
 class Follower(Generic[T]):
@@ -88,6 +94,7 @@
         self._on_loss = on_loss
         self._watch_time: asyncio.Timeout | None = None
         self._revision: int | None = None
+        self._era: int | None = None
         self._failing_since_s: float | None = None
         self._outage_ended_s = -LAPSE_WINDOW_S
         self.confirmed_s: float | None = None
@@ -141,7 +148,18 @@
         if self._revision is None:
             listing = await self._source.read()
             self._record_success()
-            self._apply_documents(listing.documents, listing.revision, True)
+            is_older_copy = self._era not in (None, listing.era)
+            self._era = listing.era
+            if is_older_copy:
+                decisions.log(
+                    'store_restored',
+                    kind=self._kind,
+                    era=listing.era,
+                    revision=listing.revision,
+                )
+            self._apply_documents(
+                listing.documents, listing.revision, True, is_older_copy
+            )
             self.confirmed_s = requested_s
             return
         # After a failure the watch must not wait, so that the return of the
@@ -175,10 +193,20 @@
         documents: Mapping[str, T | None],
         revision: int,
         is_listing: bool,
+        is_older_copy: bool = False,
     ) -> None:
         since_outage_s = suspend_aware_now() - self._outage_ended_s
         after_outage = since_outage_s < LAPSE_WINDOW_S
-        self._apply(Update(documents, revision, is_listing, after_outage))
+        self._apply(
+            Update(
+                documents,
+                revision,
+                is_listing,
+                after_outage,
+                self._era or 0,
+                is_older_copy,
+            )
+        )
         self._revision = revision
 
     def _record_failure(self, exc: Exception) -> None:
--- a/src/wagtailhollow/internal/directory/state.py
+++ b/src/wagtailhollow/internal/directory/state.py
@@ -18,6 +18,10 @@
 MAX_LEAVING = 4096
 """Starts of targets that are remembered as leaving, the last ones."""
 
+RESTORED_GRACE_S = 5.0
+"""How long a withdrawal is kept that is missing after the store has come back
+from an older copy; within it operators have written it again."""
+
 
 class Directory:
     """The manifest, withdrawals and targets in force."""
@@ -31,6 +35,10 @@
         self._received_s: dict[tuple[str, int], float] = {}
         self._removals_deferred_until_s = 0.0
         self._leaving: dict[tuple[str, int], None] = {}
+        self._gone: dict[tuple[str, int], None] = {}
+        self._unconfirmed: set[tuple[str, int]] = set()
+        self._withdrawn_until_s: dict[str, float] = {}
+        self._manifest_era = 0
         self.manifest: model.Manifest | None = None
         self.withdrawn: frozenset[str] = frozenset()
         self.target_listeners: list[Callable[[], None]] = []
@@ -40,12 +48,10 @@
     ) -> None:
         """Apply a newer manifest; older ones are ignored."""
         for manifest in update.documents.values():
-            if manifest is None or (
-                self.manifest is not None
-                and manifest.revision <= self.manifest.revision
-            ):
+            if manifest is None or not self._is_newer(manifest, update.era):
                 continue
             self.manifest = manifest
+            self._manifest_era = update.era
             self._routes = _routes_by_host(manifest.routes)
             decisions.log(
                 'manifest_applied',
@@ -55,12 +61,29 @@
                 keys=len(manifest.organisations or ()),
             )
 
+    def _is_newer(self, manifest: model.Manifest, era: int) -> bool:
+        """Return whether a manifest follows the one in force.
+
+        Revisions are given out again in a new era, versions are not: one that
+        is lower has been read from an older copy of the store.
+        """
+        if self.manifest is None:
+            return True
+        if era == self._manifest_era:
+            return manifest.revision > self.manifest.revision
+        return manifest.version >= self.manifest.version
+
     def apply_withdrawals(self, update: follow.Update[bool]) -> None:
         """Apply changes of the withdrawn data centres."""
         before = self.withdrawn
+        if update.is_older_copy:
+            until_s = self._clock() + RESTORED_GRACE_S
+            self._withdrawn_until_s = dict.fromkeys(before, until_s)
         names = set() if update.is_listing else set(before)
         for name, is_withdrawn in update.documents.items():
             (names.add if is_withdrawn else names.discard)(name)
+            if not is_withdrawn:
+                self._withdrawn_until_s.pop(name, None)
         self.withdrawn = frozenset(names)
         if before != self.withdrawn:
             self._notify_listeners()
@@ -75,7 +98,15 @@
     ) -> None:
         """Apply changes of the registered targets."""
         now_s = self._clock()
-        if update.after_outage:
+        if update.is_older_copy:
+            self._distrust_copy(update.documents)
+        elif not update.is_listing:
+            self._unconfirmed -= {
+                record.incarnation
+                for record in update.documents.values()
+                if record is not None
+            }
+        if update.after_outage or update.is_older_copy:
             self._removals_deferred_until_s = now_s + LAPSE_GRACE_S
         gone = {
             name for name, record in update.documents.items() if record is None
@@ -89,6 +120,25 @@
                 self._register(record, now_s)
         self._notify_listeners()
 
+    def _distrust_copy(
+        self, documents: Mapping[str, model.TargetRecord | None]
+    ) -> None:
+        """Keep what is known of targets that an older copy has as ready.
+
+        Targets that were leaving go on to leave. Those that were gone are used
+        once they have been written again.
+        """
+        self._leaving |= {
+            record.incarnation: None
+            for record in self._targets.values()
+            if record.state is model.TargetState.LEAVING
+        }
+        self._unconfirmed = {
+            record.incarnation
+            for record in documents.values()
+            if record is not None and record.incarnation in self._gone
+        }
+
     def mark_leaving(self, record: model.TargetRecord) -> None:
         """Let a target get no more calls, as it has said that it is leaving.
 
@@ -155,7 +205,9 @@
         return (
             record.state is model.TargetState.READY
             and record.incarnation not in self._leaving
+            and record.incarnation not in self._unconfirmed
             and record.data_centre not in self.withdrawn
+            and self._withdrawn_until_s.get(record.data_centre, 0.0) <= now_s
             and self._lapsed_until_by_name.get(record.name, now_s) >= now_s
         )
 
@@ -163,6 +215,7 @@
         if not self._replace_earlier_start(record):
             return
         before = self._targets.get(record.name)
+        self._gone.pop(record.incarnation, None)
         self._targets[record.name] = record
         self._name_by_address[record.address] = record.name
         self._lapsed_until_by_name.pop(record.name, None)
@@ -209,6 +262,9 @@
         if self._name_by_address.get(record.address) == name:
             del self._name_by_address[record.address]
         self._received_s.pop(record.incarnation, None)
+        self._gone[record.incarnation] = None
+        if len(self._gone) > MAX_LEAVING:
+            del self._gone[next(iter(self._gone))]
         if not record.started_ms:
             # The next start of this target cannot be told from this one.
             self._leaving.pop(record.incarnation, None)
--- a/src/wagtailhollow/internal/http1/client.py
+++ b/src/wagtailhollow/internal/http1/client.py
@@ -29,8 +29,8 @@
         timeout_s: float,
         max_bytes: int,
         body: bytes = b'',
-    ) -> tuple[int, bytes]:
-        """Send a request and return the status and body of the response.
+    ) -> tuple[connection.Head, bytes]:
+        """Send a request and return the head and body of the response.
 
         :param timeout_s: time limit for the response, once connected.
         :param max_bytes: maximum size of the response body.
@@ -48,7 +48,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 response = await conn.send(connection.Request(head, body))
-                return response.status, await conn.read_all(max_bytes)
+                return response, await conn.read_all(max_bytes)
         finally:
             if conn.is_usable and len(self._idle) < self._max_idle:
                 self._idle.append(conn)
--- a/src/wagtailhollow/internal/platform/engine.py
+++ b/src/wagtailhollow/internal/platform/engine.py
@@ -149,6 +149,7 @@
     async def _request(
         self, method: str, path: str, body: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
-        return await self._http.call(
+        head, answer = await self._http.call(
             method, path, timeout_s, MAX_RESPONSE_BYTES, body
         )
+        return head.status, answer
--- a/src/wagtailhollow/internal/platform/headers.py
+++ b/src/wagtailhollow/internal/platform/headers.py
@@ -25,4 +25,10 @@
 PROMPT_PREFIX = b'x-prompt-prefix'
 """Parts of the prompt, see :mod:`.prompts`."""
 
+TOKEN_USAGE = b'x-token-usage'
+"""Tokens of the prompt and most tokens of the answer, see :mod:`.prompts`."""
+
 LAST_EVENT_ID = b'last-event-id'
+
+STORE_ERA = b'store-era'
+"""Number that rises each time the store comes back from an older copy."""
--- a/src/wagtailhollow/internal/platform/store.py
+++ b/src/wagtailhollow/internal/platform/store.py
@@ -9,7 +9,7 @@
 from ..directory import changes
 from ..http1 import client, connection
 from ..observability import decisions
-from . import pages
+from . import headers, pages
 
 T = TypeVar('T')
 
@@ -22,6 +22,12 @@
 
 MAX_IDLE_CONNECTIONS = 3
 
+NO_ERA = 0
+"""Era of a store that states none."""
+
+ERA_FIELD = 'store_era'
+"""Field of a document for the era, which the store sends in a header."""
+
 Decoder = Callable[[str, int, Mapping[str, Any]], T | None]
 """Decodes an object from its name, revision and spec.
 
@@ -46,6 +52,8 @@
     ) -> Mapping[str, Any]:
         """Return the document of a GET request for objects of *kind*.
 
+        The era of the answer's head is in the field ERA_FIELD.
+
         :param wait_s: time for which the store may delay the response.
         :raises SourceUnavailable: no response, or an error status.
         :raises HistoryGone: status 410.
@@ -54,7 +62,7 @@
         if query:
             path += '?' + urllib.parse.urlencode(query)
         try:
-            status, body = await self._http.call(
+            head, body = await self._http.call(
                 'GET', path, wait_s + CALL_TIMEOUT_S, MAX_LISTING_BYTES
             )
         except connection.ConnectFailed as exc:
@@ -63,7 +71,9 @@
             raise changes.SourceUnavailable(
                 f'{kind}: no complete response: {exc!r}'
             ) from exc
-        return _decode_response(kind, status, body)
+        document = _decode_response(kind, head.status, body)
+        era = head.get(headers.STORE_ERA)
+        return document | {ERA_FIELD: int(era) if era.isdigit() else NO_ERA}
 
 
 class ObjectSource(Generic[T]):
@@ -85,6 +95,7 @@
         self._kind = kind
         self._decode = decode
         self._stale_query = {'allow_stale': 1} if allows_stale else {}
+        self._era = NO_ERA
 
     async def read(self) -> changes.Listing[T]:
         """See :meth:`changes.ChangeSource.read`."""
@@ -93,6 +104,13 @@
         query: dict[str, str | int] = {}
         while True:
             page = await self._store.get(self._kind, query | self._stale_query)
+            era = page.get(ERA_FIELD, NO_ERA)
+            if revision is not None and era != self._era:
+                raise changes.SourceUnavailable(
+                    f'{self._kind}: the store came back from an older copy '
+                    'between two pages'
+                )
+            self._era = era
             last_query = query
             for item in page.get('items', ()):
                 name, document = self._decode_object(item)
@@ -105,7 +123,7 @@
             if revision is None:
                 revision = page['store_revision']
             if not page.get('has_more'):
-                return changes.Listing(documents, revision)
+                return changes.Listing(documents, revision, era)
             if query == last_query:
                 raise changes.SourceUnavailable(
                     f'{self._kind}: no object of a page has a readable name'
@@ -118,6 +136,10 @@
             {'watch': revision, 'wait_ms': int(wait_s * 1000)},
             wait_s,
         )
+        era = page.get(ERA_FIELD, NO_ERA)
+        if era != self._era:
+            # The revision may have been given out again in the meantime.
+            raise changes.HistoryGone(f'{self._kind}: era {era}')
         documents: dict[str, T | None] = {}
         for event in page.get('events', ()):
             name, document = self._decode_object(_field(event, 'object'))
--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
 import errno
 import itertools
@@ -110,6 +111,8 @@
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any], bool]] = []
         self._revision = 10
+        self._era = 1
+        self._copy: tuple[Any, ...] = ()
         self._changed = asyncio.Event()
         self.server = Server(
             [routing.Route('/objects/{kind}', self._get)], unused_ip(), 8223
@@ -127,11 +130,30 @@
         self._record_change(kind, item, False)
 
     def delete(self, kind: str, name: str) -> None:
-        """Remove an object."""
+        """Remove an object, if a restored copy of the store has it."""
+        item = self._objects.get(kind, {}).pop(name, None)
+        if item is None:
+            return
         self._revision += 1
-        item = self._objects[kind].pop(name)
         self._record_change(kind, item, True)
 
+    def names(self, kind: str) -> set[str]:
+        """Return the names of all objects of a kind."""
+        return set(self._objects.get(kind, ()))
+
+    def make_copy(self) -> None:
+        """Keep a copy of the store, see :meth:`restore_copy`."""
+        self._copy = copy.deepcopy(
+            (self._objects, self._history, self._revision)
+        )
+
+    def restore_copy(self) -> None:
+        """Come back from the copy: what was written since is lost."""
+        self._objects, self._history, self._revision = copy.deepcopy(
+            self._copy
+        )
+        self._era += 1
+
     def _record_change(
         self, kind: str, item: dict[str, Any], removed: bool
     ) -> None:
@@ -149,7 +171,9 @@
         if 'watch' not in req.query_params:
             items = list(self._objects.get(kind, {}).values())
             return self._answer(items=items, has_more=False)
-        if self.mode == 'gone':
+        if self.mode == 'gone' or (
+            int(req.query_params['watch']) > self._revision
+        ):
             self.mode = 'ok'
             return responses.Response(status_code=410)
         return await self._watch(kind, req.query_params)
@@ -174,7 +198,8 @@
 
     def _answer(self, **fields: Any) -> responses.Response:
         return responses.JSONResponse(
-            fields | {'store_revision': self._revision}
+            fields | {'store_revision': self._revision},
+            headers={'store-era': str(self._era)},
         )
 
 
