Take a status that is none of an answer for a failure

Cause: a status below 200 was taken for an interim answer, so that a call whose engine answered 000 waited for another answer until its deadline; through agents any status that the parser reads was passed on to the caller. Change: on both ways a status outside 200 to 599 is a failure of the engine, but for the interim ones 100, 102 and 103. The call is retried if it may be, the engine is avoided as after other failures. Measured: test_statuses_of_answers fails on the code before: 504 at the deadline on the direct way, no error through agents; it passes.

--- a/src/wagtailhollow/internal/agent/backends/http_call.py
+++ b/src/wagtailhollow/internal/agent/backends/http_call.py
@@ -23,6 +23,10 @@
 )  # fmt: skip
 
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses of an answer; an engine in trouble may send others, as 000."""
+
+
 class TargetHttp:
     """HTTP client session to one target."""
 
@@ -61,6 +65,12 @@
             raise registry.BackendError(str(exc), started=False) from exc
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             raise registry.BackendError(repr(exc), started=True) from exc
+        if resp.status not in FINAL_STATUSES:
+            resp.close()
+            raise registry.BackendError(
+                f'the status {resp.status:03} is none of an answer',
+                started=True,
+            )
         kept = {
             key.lower(): value
             for key, value in resp.headers.items()
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -42,6 +42,11 @@
 MAX_SKIPPED_BYTES = 1024 * 1024
 """Bytes of the bodies of late responses before the expected one."""
 
+FINAL_STATUSES = range(200, 600)
+INTERIM_STATUSES = frozenset({100, 102, 103})
+"""Statuses before that of the answer. 101 is none: no request asks to change
+the protocol."""
+
 _SECONDS = re.compile(rb'\d{1,9}(\.\d{1,9})?')
 
 REQUEST_ID_HEADER = b'x-request-id'
@@ -379,9 +384,12 @@
         if self._is_complete:
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        if status in INTERIM_STATUSES:
             self._is_skipped = True
             return
+        if status not in FINAL_STATUSES:
+            self.fail(f'the status {status:03} is none of an answer')
+            return
         head = Head(status, tuple(self._headers))
         # A response with another id is a late response to an earlier request
         # on this connection; the expected one may follow.
