Bound what callers can take from an entry

Cause: the entry counted the bytes of a head only. Trailers were collected as headers of the request, neither counted nor timed; a body was held whole whatever others held; a header line costs many times its bytes; thousands of pipelined requests became objects at once; a body after an offer to upgrade was read as further requests. Change: one account over all connections for heads, lines, bodies and bytes that wait, with a limit from the memory of the host; past it the largest requests that are still being sent are refused as not run. Bytes between pieces of a body are bounded, trailers dropped, 16 KiB parsed at a time, announced bodies over the limit refused unread, answers that are not read given up. Readiness and metrics share the account. The soak learns endless trailers and restored stores.

--- a/proof/direct_soak.py
+++ b/proof/direct_soak.py
@@ -427,6 +427,24 @@
             'config', 'main', direct_deployment.manifest(self._version)
         )
 
+    async def restore_store(self) -> None:
+        """Let the store come back from a copy; writers then write again."""
+        self._store.make_copy()
+        await asyncio.sleep(self.uniform(0.3, 2.0))
+        self._store.mode = 'busy'
+        await asyncio.sleep(self.uniform(0.1, 0.5))
+        self._store.restore_copy()
+        self._store.mode = 'ok'
+        await asyncio.sleep(self.uniform(0.1, 1.0))
+        self._store.put(
+            'config', 'main', direct_deployment.manifest(self._version)
+        )
+        running = {item.name: item for item in self._engines}
+        for name in self._store.names('servers') - running.keys():
+            self._store.delete('servers', name)
+        for name, engine in running.items():
+            self._store.put('servers', name, engine.registration())
+
     async def replace(self, engine: direct_deployment.Engine) -> None:
         """Let an engine leave and another come; it goes after a while."""
         if engine.is_leaving:
@@ -637,6 +655,34 @@
     soak.new_manifest()
 
 
+@_fault
+async def _restore_store(soak: Soak) -> None:
+    await soak.restore_store()
+
+
+@_fault
+async def _hostile_caller(soak: Soak) -> None:
+    """Send trailers without end for a while."""
+    head = (
+        f'POST /once/p HTTP/1.1\r\nHost: {direct_deployment.HOST_NAME}\r\n'
+        f'X-Key: {direct_deployment.API_KEY}\r\nX-Request-Id: hostile\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n0\r\n'
+    )
+    with contextlib.suppress(OSError, TimeoutError):
+        async with asyncio.timeout(1.0):
+            _, writer = await asyncio.open_connection(
+                soak.random_entry().ip, 8227
+            )
+            try:
+                writer.write(head.encode())
+                while True:
+                    writer.write(b'a: b\r\n' * 100)
+                    await writer.drain()
+                    await asyncio.sleep(0.01)
+            finally:
+                writer.transport.abort()
+
+
 async def _slow_body(pause_s: float) -> AsyncIterator[bytes]:
     yield b'{'
     await asyncio.sleep(pause_s)
--- a/src/wagtailhollow/internal/entry/app.py
+++ b/src/wagtailhollow/internal/entry/app.py
@@ -190,7 +190,9 @@
             raise requests.body_too_large(limits.max_body_bytes)
         try:
             async with asyncio.timeout(limits.body_timeout_s):
-                return await requests.read_body(receive, limits.max_body_bytes)
+                return await requests.read_body(
+                    scope, receive, limits.max_body_bytes
+                )
         except ConnectionAbortedError:
             raise requests.bad_request('the connection was closed') from None
         except TimeoutError:
--- a/src/wagtailhollow/internal/entry/compose.py
+++ b/src/wagtailhollow/internal/entry/compose.py
@@ -34,6 +34,7 @@
     agent_targets,
     app,
     attempts,
+    caller_memory,
     calls,
     claimed_calls,
     host_list,
@@ -181,6 +182,9 @@
                     cfg.request_limits.body_timeout_s,
                 ),
                 self._app.overloaded,
+                caller_memory.CallerMemory(
+                    cfg.request_limits.max_request_memory_bytes
+                ),
             ),
         )
         self._agents: dict[str, str] = {}
--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -160,7 +160,7 @@
             )
         async with self._stop.until_latest_start(arrived_s + allowed_s):
             body = await _read_body(
-                receive, manifest.limits.max_body_bytes, allowed_s
+                scope, receive, manifest.limits.max_body_bytes, allowed_s
             )
         service_name = _choose_service(route)
         return routed_call.RoutedCall(
@@ -253,7 +253,10 @@
 
 
 async def _read_body(
-    receive: requests.Receive, limit: int, allowed_s: float
+    scope: requests.Scope,
+    receive: requests.Receive,
+    limit: int,
+    allowed_s: float,
 ) -> bytes:
     """Return the body; raises SLOW_SENDER if it is late for any answer.
 
@@ -261,7 +264,7 @@
     """
     try:
         async with asyncio.timeout(allowed_s):
-            return await requests.read_body(receive, limit)
+            return await requests.read_body(scope, receive, limit)
     except TimeoutError as exc:
         raise errors.Refusal(
             errors.ErrorKind.SLOW_SENDER,
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -7,7 +7,7 @@
 import dataclasses
 import random
 
-from starlette import routing
+from starlette import applications, routing
 
 from ...daemon import http, lifecycle
 from ...datagram import endpoint, load_rows, messages
@@ -19,7 +19,7 @@
 from ...platform import targets as registrations
 from ...retries import budget
 from ...routing import power_of_two
-from .. import calls, http_protocol
+from .. import caller_memory, calls, http_protocol
 from . import (
     app,
     attempts,
@@ -62,6 +62,13 @@
 ANSWERS_MEMORY_SHARE = 0.1
 """Share of the memory for bytes of answers that wait for their callers."""
 
+REQUESTS_MEMORY_SHARE = 0.2
+"""Share of the memory for requests that callers send, until their answers."""
+
+MAX_PROBE_CONNECTIONS = 32
+"""Connections for readiness and metrics; http_protocol.MAX_EXCESS_CONNECTIONS
+more are served as well."""
+
 RESERVED_FILES = 200
 """File descriptors that are not available for sockets."""
 
@@ -175,18 +182,17 @@
             max_connections=max_caller_connections(cfg.max_files),
             body_timeout_s=15.0,
         )
+        memory = caller_memory.CallerMemory(
+            cfg.memory_bytes * REQUESTS_MEMORY_SHARE
+        )
         self._caller_server = http.HttpServer(
             [routing.Mount('/', self._app)],
             cfg.callers_address,
-            protocol=http_protocol.bounded_protocol(limits, self._app),
-        )
-        self._readiness_server = http.HttpServer(
-            http.health_and_metrics_routes(self._not_ready_reason),
-            cfg.readiness_address,
+            protocol=http_protocol.bounded_protocol(limits, self._app, memory),
         )
-        self._metrics_server = http.HttpServer(
-            http.health_and_metrics_routes(self._not_ready_reason),
-            f'{cfg.ip}:{METRICS_PORT}',
+        self._readiness_server, self._metrics_server = (
+            self._probe_server(address, memory)
+            for address in (cfg.readiness_address, f'{cfg.ip}:{METRICS_PORT}')
         )
         self._targets_added = asyncio.Event()
         self._subscribed_ips: set[str] = set()
@@ -204,6 +210,19 @@
             self._endpoint.add_handler(message_type, handle)
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _probe_server(
+        self, address: str, memory: caller_memory.CallerMemory
+    ) -> http.HttpServer:
+        """Return a server for probes, which anyone may reach as well."""
+        routes = http.health_and_metrics_routes(self._not_ready_reason)
+        limits = http_protocol.ConnectionLimits(
+            max_connections=MAX_PROBE_CONNECTIONS
+        )
+        protocol = http_protocol.bounded_protocol(
+            limits, applications.Starlette(routes=routes), memory
+        )
+        return http.HttpServer(routes, address, protocol=protocol)
+
     async def start(self) -> None:
         """See :class:`lifecycle.Daemon`."""
         self._tasks = [
--- a/src/wagtailhollow/internal/entry/requests.py
+++ b/src/wagtailhollow/internal/entry/requests.py
@@ -82,12 +82,17 @@
     return text if len(text) <= MAX_REPR_CHARS else text[:MAX_REPR_CHARS] + '…'
 
 
-async def read_body(receive: Receive, limit: int) -> bytes:
+async def read_body(scope: Scope, receive: Receive, limit: int) -> bytes:
     """Return the whole body of a request.
 
+    A body whose announced length exceeds the limit is not read.
+
     :raises Refusal: BODY_TOO_LARGE.
     :raises ConnectionAbortedError: the caller disconnected.
     """
+    length = header(scope, b'content-length')
+    if length.isdigit() and int(length) > limit:
+        raise body_too_large(limit)
     body = bytearray()
     has_more_body = True
     while has_more_body:
--- a/src/wagtailhollow/internal/observability/metrics.py
+++ b/src/wagtailhollow/internal/observability/metrics.py
@@ -96,6 +96,11 @@
     'Calls that wait for a target.',
     ('service',),
 )
+ended_connections = prometheus_client.Counter(
+    'wagtailhollow_ended_caller_connections',
+    'Connections of callers that the entry has ended, by reason.',
+    ('reason',),
+)
 claim_outcomes = prometheus_client.Counter(
     'wagtailhollow_claim_outcomes',
     'Claimed calls by outcome: done, not_run, unknown, in_progress.',
--- a/src/wagtailhollow/internal/settings/schema.py
+++ b/src/wagtailhollow/internal/settings/schema.py
@@ -66,6 +66,9 @@
     max_body_bytes: int = _whole_number(1_000_000, 1, 1_900_000)
     max_header_bytes: int = _whole_number(16_384, 1_024, 65_536)
     max_connections: int = _whole_number(2_048, 1, 65_536)
+    max_request_memory_bytes: int = _whole_number(
+        268_435_456, 16_777_216, 1_099_511_627_776
+    )
     max_waiting_calls: int = _whole_number(512, 0, 65_536)
     body_timeout_s: float = _seconds(10.0, 0.1, 600.0)
     max_wait_s: float = _seconds(1.0, 0.0, 60.0)
