Decide who is served while there is too little room

Cause: a call that found no target asked again at random, so that in a shortage whoever asked next got a place: all kinds were late alike, calls in time went to groups that could only answer late, and a backlog filled the places of the calls that came after it. Change: decisions in entry/shortage without network or clock. The targets that answer in time can take a rate of calls, worked out alike by all entries from load reports; it is shared between levels by the demand of all entries, which agents add up, and between entries by their part of it. Waiting calls look in turn by level, lateness and age. Streams at a group without passes are resumed elsewhere before their first event, too.

--- a/deploy/hosts.thrift
+++ b/deploy/hosts.thrift
@@ -67,10 +67,12 @@
   1: string node,
   2: bool wants_entries,
   3: bool reads_batches,
+  4: binary demand,
 }
 
 struct EntryList {
   1: binary ips,
+  2: binary demand,
 }
 
 struct Roster {
--- a/src/wagtailhollow/internal/agent/direct/load_reports.py
+++ b/src/wagtailhollow/internal/agent/direct/load_reports.py
@@ -14,7 +14,7 @@
 import time
 from collections.abc import Callable, Collection
 
-from ...datagram import endpoint, load_rows, messages
+from ...datagram import demand_rows, endpoint, load_rows, messages
 
 SUBSCRIPTION_S = 3.0
 COUNT_DELAY_S = 1.1
@@ -55,6 +55,7 @@
         self._clock = clock
         self._started_s = clock()
         self._subscribed_until_s: dict[str, float] = {}
+        self._demands: dict[str, bytes] = {}
         self._batch_readers: set[str] = set()
         self._collected: dict[str, tuple[float, messages.LoadReport]] = {}
         self._due_s = 0.0
@@ -64,13 +65,17 @@
         """Record the subscription of an entry, and answer if it asks to."""
         now_s = self._clock()
         self._subscribed_until_s[ip] = now_s + SUBSCRIPTION_S
+        self._demands[ip] = message.demand
         if message.reads_batches:
             self._batch_readers.add(ip)
         else:
             self._batch_readers.discard(ip)
         if message.wants_entries and now_s - self._started_s >= COUNT_DELAY_S:
             answer = messages.EntryList(
-                ips=endpoint.pack_ips(sorted(self._subscribed_until_s))
+                ips=endpoint.pack_ips(sorted(self._subscribed_until_s)),
+                demand=demand_rows.total(
+                    self._demands[entry] for entry in self._subscribed_until_s
+                ),
             )
             self._transmit(answer, (ip,))
 
@@ -95,6 +100,7 @@
         }
         entries = self._subscribed_until_s.keys()
         self._batch_readers &= entries
+        self._demands = {ip: self._demands[ip] for ip in entries}
         report.entries = len(entries)
         collected = self._recent_reports(report.group, now_s)
         period_s = self._period_s()
--- a/src/wagtailhollow/internal/datagram/messages.py
+++ b/src/wagtailhollow/internal/datagram/messages.py
@@ -158,8 +158,8 @@
 class LoadReport(TBase.TBase):
     """Load of one target, sent by its agent to the entries.
 
-    :ivar entries: number of entries with a recent subscription; read by
-        entries of builds before :class:`EntryList` only.
+    :ivar entries: number of entries with a recent subscription, for those
+        that have no :class:`EntryList` yet.
     :ivar group: group that the target is a rank of, or empty.
     :ivar pass_ms: recent mean duration of a pass, 0 if unknown.
     :ivar period_ms: period of these reports.
@@ -193,22 +193,28 @@
     ('node', TType.STRING, ''),
     ('wants_entries', TType.BOOL, False),
     ('reads_batches', TType.BOOL, False),
+    ('demand', TType.STRING, b''),
 )
 class Subscribe(TBase.TBase):
     """Request of an entry for load reports of an agent.
 
     :ivar wants_entries: whether to answer with an :class:`EntryList`.
     :ivar reads_batches: whether the entry reads :class:`LoadBatch`.
+    :ivar demand: rates of its calls, see :mod:`.demand_rows`.
     """
 
 
-@_thrift_struct(('ips', TType.STRING, b''))
+@_thrift_struct(
+    ('ips', TType.STRING, b''),
+    ('demand', TType.STRING, b''),
+)
 class EntryList(TBase.TBase):
     """Entries with a recent subscription, sent by an agent to one of them.
 
     An agent that has not listened for long enough sends none.
 
     :ivar ips: IPv4 addresses of the entries, four bytes each.
+    :ivar demand: sum of their demands.
     """
 
 
--- a/src/wagtailhollow/internal/directory/model.py
+++ b/src/wagtailhollow/internal/directory/model.py
@@ -115,6 +115,11 @@
         """
         return self.stride * (self.step_s + self.per_sequence_s * sequences)
 
+    @property
+    def usual_passes(self) -> float:
+        """Return the passes of a usual answer, and one for its prompt."""
+        return 1 + self.usual_answer_tokens / self.stride
+
     def sequences_within(self, pass_s: float) -> int:
         """Return how many sequences can be decoded in passes of *pass_s*."""
         left_s = pass_s / self.stride - self.step_s
--- a/src/wagtailhollow/internal/entry/agent_targets.py
+++ b/src/wagtailhollow/internal/entry/agent_targets.py
@@ -69,6 +69,12 @@
         """
         return self._is_connected(candidate.address)
 
+    def preferred(
+        self, call: call_module.Call, candidates: list[policy.Candidate]
+    ) -> list[policy.Candidate]:
+        """See :class:`calls.TargetSource`; agents decide on admission."""
+        return candidates
+
     def attempt(
         self,
         call: call_module.Call,
--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -16,6 +16,7 @@
 from ..streams import sink as sink_module
 from . import attempt as attempt_module
 from . import call as call_module
+from .shortage import waiting
 
 if TYPE_CHECKING:
     from ..wire.gen import ttypes
@@ -31,11 +32,8 @@
 of this range targets finish a third of the calls that they are running.
 """
 
-TARGET_POLL_INTERVAL_S = 0.05
-"""Pause before looking again for a target with free capacity."""
 
-
-def _random_retry_after_s() -> float:
+def _random_retry_after_s(call: call_module.Call) -> float:
     return random.uniform(*RETRY_AFTER_RANGE_S)
 
 
@@ -50,6 +48,8 @@
     :ivar max_wait_share: part of the remaining time that a call may wait for
         a target; a caller that is refused early still has time to retry.
     :ivar new_budget: creates the retry budget of one service.
+    :ivar retry_after_s: returns when the caller of a refused call should
+        return.
     """
 
     max_rejections: int = DEFAULT_MAX_REJECTIONS
@@ -58,6 +58,7 @@
     new_budget: Callable[[], budget.RetryPolicy] = budget.RETRY_POLICIES[
         budget.DEFAULT_POLICY
     ]
+    retry_after_s: Callable[[call_module.Call], float] = _random_retry_after_s
 
 
 class Runner(Protocol):
@@ -92,6 +93,14 @@
     ) -> bool:
         """Return whether the call should be sent now instead of waiting."""
 
+    def preferred(
+        self, call: call_module.Call, candidates: list[policy.Candidate]
+    ) -> list[policy.Candidate]:
+        """Return the candidates with capacity that suit the call best.
+
+        The list is empty if the call should wait for another target.
+        """
+
     def attempt(
         self,
         call: call_module.Call,
@@ -125,6 +134,7 @@
         max_wait_s: float,
         rules: RetryRules | None = None,
         screen: Callable[[call_module.Call], None] = lambda call: None,
+        turns: waiting.Turns | None = None,
     ) -> None:
         """Create a handler.
 
@@ -132,8 +142,11 @@
             they are not retried after an answer was lost.
         :param max_wait_s: longest wait for a target that is not full.
         :param screen: raises Refusal for a call that no target may get.
+        :param turns: decides when calls that wait look for a target again;
+            by default each does so at random times.
         """
         self._screen = screen
+        self._turns = turns or waiting.RandomTurns()
         self._runner = runner
         self._targets = targets
         self._claimed = claimed
@@ -166,12 +179,15 @@
         self._screen(call)
         await self._wait_for_available_target(call)
         candidates = self._targets.candidates(call)
-        untried = [
-            item
-            for item in candidates
-            if item.target not in tried
-            and self._targets.has_capacity(call, item)
-        ]
+        untried = self._targets.preferred(
+            call,
+            [
+                item
+                for item in candidates
+                if item.target not in tried
+                and self._targets.has_capacity(call, item)
+            ],
+        )
         if not untried:
             kind = (
                 errors.ErrorKind.OVERLOADED
@@ -181,8 +197,9 @@
             raise errors.Refusal(
                 kind,
                 f'no target of {call.service_name} can accept the call now',
-                retry_after_s=_random_retry_after_s(),
+                retry_after_s=self._rules.retry_after_s(call),
             )
+        self._turns.found(call)
         below_cap = [item for item in untried if item.load < 1]
         return self._policy(call).choose(below_cap or untried, call.prefix)
 
@@ -207,9 +224,19 @@
                     f'calls for {unavailable_s:.1f} s',
                     retry_after_s=unavailable_s,
                 )
-            await asyncio.sleep(TARGET_POLL_INTERVAL_S)
+            await self._turns.wait(call, until_s)
             self._screen(call)
 
+    async def wait_for_turn(
+        self, call: call_module.Call, until_s: float
+    ) -> None:
+        """Wait before looking again for a place at a target.
+
+        :raises Refusal: if the call will find none.
+        """
+        self._turns.require_chance(call)
+        await self._turns.wait(call, until_s)
+
     def has_other_target(
         self, call: call_module.Call, candidate: policy.Candidate
     ) -> bool:
@@ -329,7 +356,9 @@
                     raise errors.Refusal(
                         errors.ErrorKind.OVERLOADED,
                         f'no target accepted the call: {exc.refusal.message}',
-                        retry_after_s=_random_retry_after_s(),
+                        retry_after_s=self._handler.rules.retry_after_s(
+                            self._call
+                        ),
                     ) from exc
                 raise exc.refusal from exc
 
@@ -375,6 +404,6 @@
                 ):
                     raise
                 self._tried.clear()
-                await asyncio.sleep(
-                    TARGET_POLL_INTERVAL_S * random.uniform(0.5, 1.5)
+                await self._handler.wait_for_turn(
+                    self._call, self._wait_until_s
                 )
--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -14,13 +14,16 @@
 from ...platform import headers, prompts
 from ...table import model as table_model
 from .. import calls, requests
+from ..shortage import demand as demand_module
+from ..shortage import quota
 from . import (
-    attempts,
     caller_timeouts,
     freshness,
     planned_stop,
     routed_call,
+    targets,
 )
+from . import requests as target_requests
 from . import sink as sink_module
 
 _LOG = logging.getLogger(__name__)
@@ -40,7 +43,11 @@
         fresh: freshness.Freshness,
         handler: calls.CallHandler,
         stop: planned_stop.PlannedStop,
+        view: targets.DirectTargets,
+        demand: demand_module.Demand,
     ) -> None:
+        self._targets = view
+        self._demand = demand
         self._directory = directory
         self._freshness = fresh
         self._handler = handler
@@ -98,6 +105,8 @@
                 request_id=call.call_id,
                 route=call.route.name,
                 organisation=call.organisation,
+                priority=call.priority,
+                is_late=call.is_late,
                 result=result,
                 status=sink.status,
                 events=sink.position.events,
@@ -163,7 +172,8 @@
                 scope, receive, manifest.limits.max_body_bytes, allowed_s
             )
         service_name = _choose_service(route)
-        return routed_call.RoutedCall(
+        cost, passes = self._work(service_name, rows)
+        call = routed_call.RoutedCall(
             call_id=call_id,
             organisation=organisation.name if organisation else '',
             service_name=service_name,
@@ -182,7 +192,7 @@
             max_attempts=route.max_attempts,
             max_wait_s=caller_timeouts.max_wait_s(route),
             route=route,
-            sent_headers=attempts.forwarded_headers(rows),
+            sent_headers=target_requests.forwarded_headers(rows),
             target_path=_target_path(scope),
             is_authenticated=organisation is not None,
             priority=_priority(route, organisation),
@@ -191,7 +201,26 @@
                 connection.first_header(rows, headers.PROMPT_PREFIX)
             ),
             regions=_allowed_regions(route, organisation),
+            first_event_s=self._targets.first_event_s(service_name, route),
+            cost=cost,
+            passes=passes,
         )
+        if not call.is_late:
+            self._demand.record(service_name, call.level)
+        return call
+
+    def _work(
+        self, service_name: str, rows: connection.Headers
+    ) -> tuple[float, float]:
+        """Return cost and passes of a call, see :class:`RoutedCall`."""
+        service = self._directory.services().get(service_name)
+        if service is None or service.engine is None:
+            return 1.0, 0.0
+        tokens = prompts.answer_tokens(
+            connection.first_header(rows, headers.TOKEN_USAGE)
+        )
+        cost = quota.cost(tokens, service.engine.usual_answer_tokens)
+        return cost, cost * service.engine.usual_passes
 
     def _route(self, scope: requests.Scope) -> model.Route:
         host = connection.first_header(scope['headers'], b'host').decode(
--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -19,6 +19,7 @@
     ended_targets,
     events,
     prompt_holds,
+    requests,
     routed_call,
     sink,
     targets,
@@ -37,10 +38,6 @@
 
 CONNECTION_MAX_IDLE_S = 20.0
 
-PRIORITY_LEVELS = 4
-"""Number of distinct operator priorities. A target's queue has 10 levels; one
-is for interrupted streams, and late calls need as many as other calls."""
-
 REPORT_CHECK_PERIOD_S = 0.1
 """Period of the check whether the load reports of an unresponsive target are
 overdue; shorter than the agents' report period of 0.15 s."""
@@ -54,42 +51,6 @@
 
 _IS_LEAVING = b'1'
 
-_NOT_FORWARDED = frozenset(
-    {
-        b'connection',
-        b'keep-alive',
-        b'proxy-connection',
-        b'te',
-        b'trailer',
-        b'transfer-encoding',
-        b'upgrade',
-        b'expect',
-        b'content-length',
-        headers.API_KEY,
-        headers.ORGANISATION,
-        headers.DEADLINE,
-        headers.EXPECTED_TARGET,
-        headers.PRIORITY,
-        headers.LAST_EVENT_ID,
-    }
-)
-"""Hop-by-hop headers and headers that the entry sets itself."""
-
-
-def forwarded_headers(rows: connection.Headers) -> connection.Headers:
-    """Return the request headers that are forwarded to the target."""
-    connection_options = {
-        part.strip().lower()
-        for name, value in rows
-        if name == b'connection'
-        for part in value.split(b',')
-    }
-    return tuple(
-        row
-        for row in rows
-        if row[0] not in _NOT_FORWARDED and row[0] not in connection_options
-    )
-
 
 class HttpAttemptRunner:
     """Sends attempts to targets over HTTP and relays the responses.
@@ -369,7 +330,9 @@
         frozen. A resumable stream then fails over before its caller
         disconnects.
         """
-        sending = conn.send(self._build_request())
+        sending = conn.send(
+            requests.target_request(self.call, self.record, self.position)
+        )
         if self._can_resume:
             return await self._wait_unless_silent(sending, view)
         return await sending
@@ -383,20 +346,24 @@
     ) -> T:
         """Return the first bytes of a stream; raise if none will come.
 
-        A slow engine is waited for as long as its agent reports, or as no
-        other target can take the call.
+        A slow engine is waited for as long as its agent reports passes of its
+        group, or as no other target can take the call.
         """
         task = asyncio.ensure_future(work)
         timeout_s = caller_timeouts.idle_timeout_s(self.call.route, 0.0)
         try:
             await asyncio.wait({task}, timeout=timeout_s)
             while not task.done() and not (
-                view.is_report_overdue(self.record) and self._can_be_replaced()
+                (
+                    view.is_report_overdue(self.record)
+                    or view.is_stalled(self.record)
+                )
+                and self._can_be_replaced()
             ):
                 await asyncio.wait({task}, timeout=REPORT_CHECK_PERIOD_S)
             if not task.done():
                 raise connection.ResponseLost(
-                    'the target is silent, and so is its agent'
+                    'the target is silent, and so is its agent or its group'
                 )
             return await task
         finally:
@@ -413,25 +380,6 @@
         can_continue = not self._response_sink.is_started or self._can_resume
         _fail(Phase.SENT if can_continue else Phase.ANSWERING, kind, message)
 
-    def _build_request(self) -> connection.Request:
-        call = self.call
-        rows = list(call.sent_headers)
-        if call.body or call.method in ('POST', 'PUT', 'PATCH'):
-            rows.append((b'content-length', str(len(call.body)).encode()))
-        remaining_ms = max(1, int(call.remaining_s() * 1000))
-        rows.append((headers.DEADLINE, str(remaining_ms).encode()))
-        rows.append((headers.EXPECTED_TARGET, self.record.name.encode()))
-        rows.append((headers.PRIORITY, _priority(call, self.position)))
-        if call.organisation:
-            rows.append((headers.ORGANISATION, call.organisation.encode()))
-        if self.position.last_id:
-            rows.append((headers.LAST_EVENT_ID, self.position.last_id))
-        return connection.Request(
-            connection.request_head(call.method, call.target_path, rows),
-            call.body,
-            call.call_id.encode('latin-1'),
-        )
-
     def _raise_if_refused(
         self, head: connection.Head, view: targets.DirectTargets
     ) -> None:
@@ -631,19 +579,5 @@
             )
 
 
-def _priority(
-    call: routed_call.RoutedCall, position: events.EventPosition
-) -> bytes:
-    """Return the priority of a call in a target's queue; 0 is served first.
-
-    The caller of an interrupted stream is waiting for its next event. Late
-    calls must not delay those that can still meet their latency objective.
-    """
-    if position.events:
-        return b'0'
-    level = min(max(call.priority, 0), PRIORITY_LEVELS - 1)
-    return b'%d' % (1 + level + PRIORITY_LEVELS * call.is_late)
-
-
 def _fail(phase: Phase, kind: errors.ErrorKind, message: str) -> NoReturn:
     raise AttemptFailed(phase, errors.Refusal(kind, message))
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import contextlib
+import copy
 import dataclasses
+import operator
 import random
 
 from starlette import applications, routing
@@ -20,6 +22,7 @@
 from ...retries import budget
 from ...routing import power_of_two
 from .. import caller_memory, calls, http_protocol
+from ..shortage import demand, outlook, waiting
 from . import (
     app,
     attempts,
@@ -108,7 +111,7 @@
             follow.Follower(
                 'manifest',
                 store.ObjectSource(client, manifest.KIND, manifest.decode),
-                self._directory.apply_manifest,
+                self._apply_manifest,
                 times.manifest_s,
                 on_loss=self._suspect_loss,
             ),
@@ -146,8 +149,15 @@
         self._shares = shares.EntryShares(
             cfg.ip, lambda: len(self._directory.all_targets())
         )
+        self._demand = demand.Demand()
+        self._turns = waiting.OrderedTurns(
+            operator.attrgetter('rank'), _retry_after_s
+        )
         self._targets = targets.DirectTargets(
-            self._directory, self._cold_limit, regions=cfg.regions
+            self._directory,
+            self._cold_limit,
+            regions=cfg.regions,
+            demand=self._demand,
         )
         self._holds = prompt_holds.PromptHolds(
             self._send_to_entries,
@@ -172,11 +182,18 @@
                 rejections_use_budget=True,
                 max_wait_share=MAX_WAIT_SHARE,
                 new_budget=self._new_budget,
+                retry_after_s=_retry_after_s,
             ),
             self._screen,
+            self._turns,
         )
         self._app = app.RoutedApp(
-            self._directory, self._freshness, handler, self._stop
+            self._directory,
+            self._freshness,
+            handler,
+            self._stop,
+            self._targets,
+            self._demand,
         )
         limits = http_protocol.ConnectionLimits(
             max_connections=max_caller_connections(cfg.max_files),
@@ -284,6 +301,13 @@
         of_targets.adjust(times.targets_s, times.targets_batch_s)
         of_withdrawals.adjust(times.withdrawals_s)
 
+    def _apply_manifest(
+        self, update: follow.Update[model.Manifest | None]
+    ) -> None:
+        self._directory.apply_manifest(update)
+        if self._directory.manifest is not None:
+            self._demand.configure(self._directory.manifest)
+
     def _suspect_loss(self) -> None:
         """Let the longer watches check the store after the shortest failed."""
         for follower in self._followers[1:]:
@@ -313,12 +337,15 @@
 
     async def _subscribe(self) -> None:
         """Subscribe to the agents' load reports until cancelled."""
-        message = messages.Subscribe(node=self._cfg.node, reads_batches=True)
-        asking = messages.Subscribe(
-            node=self._cfg.node, reads_batches=True, wants_entries=True
-        )
         while True:
             self._targets_added.clear()
+            message = messages.Subscribe(
+                node=self._cfg.node,
+                reads_batches=True,
+                demand=self._demand.packed(),
+            )
+            asking = copy.copy(message)
+            asking.wants_entries = True
             ips = self._agent_ips()
             self._subscribed_ips = ips
             asked = frozenset(
@@ -357,12 +384,17 @@
         self._endpoint.send(message, self._shares.others, self._port)
 
     def _on_entry_list(self, message: messages.EntryList, ip: str) -> None:
+        try:
+            self._demand.record_sum(message.demand)
+        except ValueError as exc:
+            decisions.log('demand_unreadable', ip=ip, reason=str(exc))
         before = self._shares.others
         self._shares.record_list(ip, endpoint.unpack_ips(message.ips))
         wanted = messages.PromptHoldsWanted(node=self._cfg.node)
         self._endpoint.send(wanted, self._shares.others - before, self._port)
 
     def _on_load_report(self, message: messages.LoadReport, ip: str) -> None:
+        self._demand.count_entries(message.entries)
         row = load_rows.row_of(message)
         self._record_load(row, message.group, message.period_ms)
 
@@ -428,3 +460,7 @@
             lambda: bounds.retry_slack * self._shares.fraction(),
             bounds.retry_window_s,
         )
+
+
+def _retry_after_s(call: routed_call.RoutedCall) -> float:
+    return outlook.retry_after_s(call.remaining_s(), random)
--- a/src/wagtailhollow/internal/entry/direct/routed_call.py
+++ b/src/wagtailhollow/internal/entry/direct/routed_call.py
@@ -8,6 +8,7 @@
 from ...directory import model
 from ...http1 import connection
 from .. import call as call_module
+from ..shortage import order
 
 
 @dataclasses.dataclass(frozen=True)
@@ -25,6 +26,9 @@
     :ivar prompt_parts: ids of the parts of the prompt that other calls may
         share, in order.
     :ivar regions: regions that may serve the call; None means all.
+    :ivar first_event_s: time from sending the call to its first event.
+    :ivar cost: work of the call, in usual calls of its service.
+    :ivar passes: passes of an engine that the answer takes, 0 if unknown.
     """
 
     route: model.Route = None
@@ -36,6 +40,9 @@
     is_caller_retry: bool = False
     prompt_parts: tuple[str, ...] = ()
     regions: frozenset[str] | None = None
+    first_event_s: float = 0.0
+    cost: float = 1.0
+    passes: float = 0.0
 
     @property
     def is_stream(self) -> bool:
@@ -46,5 +53,24 @@
     def is_late(self) -> bool:
         """Return whether the response cannot meet its latency objective."""
         return self.is_caller_retry or (
-            time.monotonic() - self.arrived_s > self.route.objective_s
+            self._age_s + self.first_event_s > self.route.objective_s
         )
+
+    @property
+    def level(self) -> int:
+        """Return how urgent the call is; 0 is the most urgent."""
+        return order.level_of(self.priority, self.route.priority)
+
+    @property
+    def standing(self) -> order.Standing:
+        """Return the class of the call among those that compete with it."""
+        return order.Standing(self.level, self.is_late)
+
+    @property
+    def rank(self) -> order.Rank:
+        """Return the position of the call while it waits for a target."""
+        return order.Rank(self.standing, not self.is_caller_retry, self._age_s)
+
+    @property
+    def _age_s(self) -> float:
+        return time.monotonic() - self.arrived_s
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -14,7 +14,15 @@
 from ...observability import decisions
 from ...routing import policy
 from ..attempt import Attempt, AttemptFailed, Phase
-from . import routed_call
+from ..shortage import demand as demand_module
+from ..shortage import pace, places, quota
+from . import (
+    caller_timeouts,
+    cold_starts,
+    quotas,
+    reported_load,
+    routed_call,
+)
 
 FAILURE_PAUSE_S = 1.0
 """How long a failed target is skipped while other targets are available."""
@@ -23,26 +31,6 @@
 """Age from which the contents of a load report are ignored, as they no longer
 describe the queue."""
 
-COLD_WINDOW_S = 1.0
-"""Sliding window of the rate limit on calls to a cold target."""
-
-LATE_CALL_MAX_SLOT_SHARE = 0.5
-"""Share of a target's slots up to which late calls may use them; half of the
-slots are in use at the usual call rate."""
-
-PASS_SHARE_OF_GAP = 0.9
-"""Part of a stream's maximum gap between events that an engine pass may take;
-the rest is left for delivering the event to the caller."""
-
-MIN_ASSUMED_SLOWDOWN = 2.0
-"""Smallest pass time, relative to that with evenly balanced experts, that is
-assumed even if less is measured, since the demand can shift at any time. Just
-after a shift: a skew of 2.2 in the experts' 85 % of the work."""
-
-MIN_CONCURRENCY_SHARE = 0.5
-"""Share of the slots that is used whatever the measured pass time, so that a
-measurement cannot leave a target idle."""
-
 REPORT_OVERDUE_PERIODS = 4.0
 MAX_REPORT_OVERDUE_S = 1.0
 """Age of the last load report, in periods of its agent and at most, from which
@@ -68,31 +56,6 @@
 """How long a target gets no calls after it rejected one. Its agent reports
 within 0.15 s whether its group is serving."""
 
-MAX_QUEUE_SHARE = 0.5
-"""Calls that may queue at a target, as a share of its slots. One slot in six
-becomes free within about 0.2 s; in a longer queue calls would miss the 0.5 s
-objective for the first token."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _LoadReport:
-    """The last load report of a target.
-
-    :ivar made_s: when its agent asked the target, by the clock of the view.
-    :ivar own_calls: calls of this entry that ran at the target at that time.
-    :ivar is_open: whether the target's group was serving.
-    :ivar pass_s: mean duration of an engine pass, 0 if unknown.
-    :ivar period_s: period of the agent's reports, 0 if unknown.
-    """
-
-    made_s: float
-    running: int
-    waiting: int
-    own_calls: int
-    is_open: bool
-    pass_s: float = 0.0
-    period_s: float = 0.0
-
 
 class DirectTargets:
     """Tracks the availability and load of the registered targets."""
@@ -100,26 +63,30 @@
     def __init__(
         self,
         directory: state.Directory,
-        cold_limit: Callable[
-            [model.Service, model.TargetRecord], float
-        ] = lambda service, record: math.inf,
+        cold_limit: cold_starts.Limit = lambda service, record: math.inf,
         clock: Callable[[], float] = time.monotonic,
         regions: Mapping[str, str] = types.MappingProxyType({}),
+        demand: demand_module.Demand | None = None,
     ) -> None:
         """Create a view of the targets in *directory*.
 
         :param cold_limit: returns how many calls per second this entry may
             send to a cold target of a service.
         :param regions: region of each data centre.
+        :param demand: rates of calls, to share places in a shortage.
         """
         self._directory = directory
-        self._cold_limit = cold_limit
+        self._cold_starts = cold_starts.ColdStarts(
+            directory, cold_limit, clock
+        )
         self._regions = regions
-        self._cold_starts_s: dict[str, collections.deque[float]] = {}
         self._last_starts_s: dict[str, collections.deque[float]] = {}
         self._clock = clock
+        self._quotas = quotas.Quotas(
+            demand or demand_module.Demand(clock), self._room, clock
+        )
         self._outstanding: collections.Counter[str] = collections.Counter()
-        self._reports: dict[str, _LoadReport] = {}
+        self._reports: dict[str, reported_load.ReportedLoad] = {}
         self._failed_until_s: dict[str, float] = {}
         self._refusing_until_s: dict[str, float] = {}
         self._turned_away_until_s: dict[tuple[str, int], float] = {}
@@ -185,27 +152,95 @@
     def has_capacity(
         self, call: routed_call.RoutedCall, candidate: policy.Candidate
     ) -> bool:
-        """See :class:`calls.TargetSource`.
-
-        Late calls leave slots free for calls that can still meet their
-        latency objective. A full batch takes twice as long per token, so a
-        backlog would otherwise make all later calls late as well. If the cap
-        is at its minimum (MIN_CONCURRENCY_SHARE), late calls may use as much
-        as all others.
-        """
+        """See :class:`calls.TargetSource`."""
         record = self._directory.ready(candidate.target)
         if record is None:
             return False
-        in_use = candidate.load * candidate.cap
-        if call.is_late:
-            limit = LATE_CALL_MAX_SLOT_SHARE * record.slots
-        elif candidate.cap < record.slots:
-            # No call may queue here: slots above the cap are free, so the
-            # engine would start it at once and exceed the cap.
-            limit = candidate.cap
-        else:
-            limit = (1 + MAX_QUEUE_SHARE) * record.slots
-        return in_use < limit and self._has_cold_capacity(record)
+        limit = places.call_limit(
+            record.slots,
+            candidate.cap,
+            call.is_late,
+            self._pace(call, record.name) is pace.Pace.IN_TIME,
+        )
+        return (
+            candidate.load * candidate.cap < limit
+            and self._cold_starts.has_capacity(record)
+        )
+
+    def preferred(
+        self,
+        call: routed_call.RoutedCall,
+        candidates: list[policy.Candidate],
+    ) -> list[policy.Candidate]:
+        """See :class:`calls.TargetSource`.
+
+        A call yields to those that go before it, and to the pace at which it
+        has to be answered.
+        """
+        if not candidates or not call.route.gap_s:
+            return candidates
+        suitable = pace.preferred(
+            candidates,
+            lambda item: self._pace(call, item.target),
+            call.is_late,
+            lambda: min(
+                self._pace(call, record.name)
+                for record in self._available(call)
+            ),
+        )
+        if (
+            suitable
+            and self._pace(call, suitable[0].target) is pace.Pace.IN_TIME
+            and not self._quotas.try_take(call)
+        ):
+            return []
+        return suitable
+
+    def _room(self, call: routed_call.RoutedCall) -> quota.Room | None:
+        """Return what the targets can serve in time; None if it is unknown."""
+        service = self._directory.services().get(call.service_name)
+        found = [
+            self._candidate(call, record)
+            for record in self._available(call)
+            if self._pace(call, record.name) is pace.Pace.IN_TIME
+        ]
+        reports = list(
+            filter(None, (self._fresh_report(item.target) for item in found))
+        )
+        if not reports or service is None or service.engine is None:
+            return None
+        return quota.room(
+            service.engine,
+            sum(item.cap for item in found),
+            sum(item.load * item.cap for item in found),
+            [report.pass_s for report in reports if report.pass_s],
+        )
+
+    def _pace(self, call: routed_call.RoutedCall, name: str) -> pace.Pace:
+        report = self._fresh_report(name)
+        if report is None or not report.pass_s:
+            return pace.Pace.IN_TIME
+        return pace.pace_of(
+            report.pass_s,
+            call.route.gap_s,
+            caller_timeouts.event_timeout_s(call.route),
+            call.passes,
+            call.remaining_s(),
+        )
+
+    def first_event_s(self, service: str, route: model.Route) -> float:
+        """Return how long a stream takes to start at a free target."""
+        if not route.gap_s:
+            return 0.0
+        reports = (
+            self._fresh_report(record.name)
+            for record in self._directory.targets(service)
+        )
+        fastest_s = min(
+            (item.pass_s for item in reports if item and item.pass_s),
+            default=0.0,
+        )
+        return pace.first_event_s(fastest_s, route.objective_s)
 
     def attempt(
         self,
@@ -241,11 +276,7 @@
         self._last_starts_s.setdefault(
             record.name, collections.deque(maxlen=MAX_COUNTED_STARTS)
         ).append(self._clock())
-        if self._directory.cold_left_s(record) > 0:
-            sent = self._cold_starts_s.setdefault(
-                record.name, collections.deque()
-            )
-            sent.append(self._clock())
+        self._cold_starts.record(record)
 
     def finished(self, record: model.TargetRecord) -> None:
         """Stop counting a call that ended at a target."""
@@ -313,13 +344,13 @@
         """Drop the state of targets that are no longer registered."""
         records = self._directory.all_targets()
         names = {item.name for item in records}
+        self._cold_starts.keep_only(names)
         self._replaced_incarnations &= {item.incarnation for item in records}
         for by_name in (
             self._failed_until_s,
             self._refusing_until_s,
             self._group_by_target,
             self._reports,
-            self._cold_starts_s,
             self._last_starts_s,
         ):
             for name in by_name.keys() - names:
@@ -369,7 +400,7 @@
             self._group_by_target[name] = group
         if previous is None or previous.is_open != is_open:
             self._available_by_service.clear()
-        self._reports[name] = _LoadReport(
+        self._reports[name] = reported_load.ReportedLoad(
             made_s,
             running,
             waiting,
@@ -384,22 +415,6 @@
             start_s > since_s for start_s in self._last_starts_s.get(name, ())
         )
 
-    def _has_cold_capacity(self, record: model.TargetRecord) -> bool:
-        """Return whether the limit for cold targets permits another call."""
-        service = self._directory.services().get(record.service)
-        if (
-            service is None
-            or not service.cold_requests_per_s
-            or self._directory.cold_left_s(record) <= 0
-        ):
-            self._cold_starts_s.pop(record.name, None)
-            return True
-        sent = self._cold_starts_s.get(record.name, ())
-        window_start_s = self._clock() - COLD_WINDOW_S
-        while sent and sent[0] < window_start_s:
-            sent.popleft()
-        return len(sent) + 1 <= self._cold_limit(service, record)
-
     def _accepts_calls(self, record: model.TargetRecord) -> bool:
         if (
             record.incarnation in self._replaced_incarnations
@@ -478,46 +493,22 @@
         )
         return self._clock() - report.made_s > overdue_s
 
+    def is_stalled(self, record: model.TargetRecord) -> bool:
+        """Return whether the group of a target makes no passes."""
+        group = self._group_by_target.get(record.name)
+        return group is not None and group in self._stalled_groups()
+
     def pass_s(self, record: model.TargetRecord) -> float:
         """Return the pass time that an agent reports, 0 if not known."""
         report = self._fresh_report(record.name)
         return report.pass_s if report else 0.0
 
-    def _fresh_report(self, name: str) -> _LoadReport | None:
+    def _fresh_report(self, name: str) -> reported_load.ReportedLoad | None:
         report = self._reports.get(name)
         if report is None or self._clock() - report.made_s > MAX_REPORT_AGE_S:
             return None
         return report
 
-    def _concurrency_limit(
-        self,
-        call: routed_call.RoutedCall,
-        record: model.TargetRecord,
-        report: _LoadReport,
-    ) -> int:
-        """Return how many streams a target can serve within their maximum gap.
-
-        The reported pass time is compared with the engine model's for the
-        same number of running requests; a slowdown of MIN_ASSUMED_SLOWDOWN is
-        assumed at least, also without a report: a group that has just been
-        formed has a map that does not match the demand, and all the calls that
-        have waited for it. It also comes from copying weights.
-        """
-        service = self._directory.services().get(record.service)
-        gap_s = call.route.gap_s
-        if service is None or service.engine is None or not gap_s:
-            return record.slots
-        engine = service.engine
-        if not report.pass_s and engine.experts is None:
-            return record.slots
-        expected_s = engine.pass_s(max(1, report.running))
-        slowdown = max(MIN_ASSUMED_SLOWDOWN, report.pass_s / expected_s)
-        sustainable = engine.sequences_within(
-            PASS_SHARE_OF_GAP * gap_s / slowdown
-        )
-        minimum = math.ceil(record.slots * MIN_CONCURRENCY_SHARE)
-        return min(record.slots, max(minimum, sustainable))
-
     def _candidate(
         self, call: routed_call.RoutedCall, record: model.TargetRecord
     ) -> policy.Candidate:
@@ -527,7 +518,7 @@
         ``sent_since_report`` counts the calls of this entry only.
         """
         own_calls = self._outstanding[record.name]
-        report = self._fresh_report(record.name) or _LoadReport(
+        report = self._fresh_report(record.name) or reported_load.ReportedLoad(
             0.0, 0, 0, 0, True
         )
         return policy.Candidate(
@@ -540,5 +531,11 @@
             sent_since_report=max(
                 own_calls - report.own_calls, -report.running
             ),
-            cap=self._concurrency_limit(call, record, report),
+            cap=places.concurrency_limit(
+                self._directory.services().get(record.service),
+                record.slots,
+                call.route.gap_s,
+                report.running,
+                report.pass_s,
+            ),
         )
--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -44,6 +44,7 @@
 from ...observability import decisions
 from .. import observation, placement, planner
 from . import demand, group_view, model, packing, pass_time, rank
+from . import statuses as rank_statuses
 
 POLL_PERIOD_S = 0.1
 CHECK_PERIOD_PER_RANK_S = 50e-6
@@ -255,12 +256,14 @@
         self._intent = messages.Intent(
             term=term, group=own.group, epoch=own.epoch
         )
-        while not await self._wait_for_ranks(_obeys_term, RESOLVE_TIMEOUT_S):
+        while not await self._wait_for_ranks(
+            rank_statuses.obeys_term, RESOLVE_TIMEOUT_S
+        ):
             pass
         while True:
             statuses = self._statuses()
             if len(statuses) == own.size and any(
-                map(_is_unsettled, statuses.values())
+                map(rank_statuses.is_unsettled, statuses.values())
             ):
                 await self._resolve()
             elif len(statuses) == own.size:
@@ -269,7 +272,7 @@
             await self._wait_for_ranks(
                 lambda _: False,
                 POLL_PERIOD_S,
-                lags=lambda status: not _has_experts(status),
+                lags=lambda status: not rank_statuses.has_experts(status),
             )
 
     async def _wait_for_ranks(
@@ -541,7 +544,9 @@
         else:
             # The step has begun already: some of the reports are from before
             # the switch and others from after it.
-            await self._wait_for_ranks(_is_settled, RESOLVE_TIMEOUT_S)
+            await self._wait_for_ranks(
+                rank_statuses.is_settled, RESOLVE_TIMEOUT_S
+            )
 
     async def _abort(self, step: int) -> None:
         """Disarm all ranks, invalidate delayed orders and release the group.
@@ -558,11 +563,15 @@
             if len(statuses) < self._own_status().size:
                 # A rank that does not answer may still be armed, so that a
                 # release would be unsafe.
-                await self._wait_for_ranks(_obeys_term, RESOLVE_TIMEOUT_S)
+                await self._wait_for_ranks(
+                    rank_statuses.obeys_term, RESOLVE_TIMEOUT_S
+                )
                 continue
-            if not all(map(_has_experts, statuses.values())):
+            if not all(map(rank_statuses.has_experts, statuses.values())):
                 # Ranks report their experts to a new coordinator with a delay.
-                await self._wait_for_ranks(_has_experts, RESOLVE_TIMEOUT_S)
+                await self._wait_for_ranks(
+                    rank_statuses.has_experts, RESOLVE_TIMEOUT_S
+                )
                 continue
             version = self._next_version(statuses)
             current = tuple(statuses[n].experts for n in sorted(statuses))
@@ -766,26 +775,3 @@
             time.monotonic(),
         )
         return plan if plan.moves else None
-
-
-def _obeys_term(status: Status) -> bool:
-    """Return True: the statuses are only those of ranks that obey the term.
-
-    See :meth:`Coordinator._statuses`.
-    """
-    return True
-
-
-def _has_experts(status: Status) -> bool:
-    return bool(status.experts)
-
-
-def _is_settled(status: Status) -> bool:
-    return not _is_unsettled(status)
-
-
-def _is_unsettled(status: Status) -> bool:
-    return (
-        status.held_step != messages.UNSET
-        or status.armed_version != messages.UNSET
-    )
--- /dev/null
+++ b/src/wagtailhollow/internal/experts/live/statuses.py
@@ -0,0 +1,31 @@
+"""What the coordinator waits for in the statuses of ranks."""
+
+from __future__ import annotations
+
+from ...datagram import messages
+
+
+def obeys_term(status: messages.RankStatus) -> bool:
+    """Return True: the statuses are only those of ranks that obey the term.
+
+    See :meth:`Coordinator._statuses`.
+    """
+    return True
+
+
+def has_experts(status: messages.RankStatus) -> bool:
+    """Return whether the rank has told its experts."""
+    return bool(status.experts)
+
+
+def is_settled(status: messages.RankStatus) -> bool:
+    """Return whether the rank is not in a switch."""
+    return not is_unsettled(status)
+
+
+def is_unsettled(status: messages.RankStatus) -> bool:
+    """Return whether the rank is held or armed."""
+    return (
+        status.held_step != messages.UNSET
+        or status.armed_version != messages.UNSET
+    )
--- a/src/wagtailhollow/internal/observability/metrics.py
+++ b/src/wagtailhollow/internal/observability/metrics.py
@@ -96,6 +96,11 @@
     'Calls that wait for a target.',
     ('service',),
 )
+shortage_refusals = prometheus_client.Counter(
+    'wagtailhollow_shortage_refusals',
+    'Calls refused because calls that go first take all places.',
+    ('service', 'level'),
+)
 ended_connections = prometheus_client.Counter(
     'wagtailhollow_ended_caller_connections',
     'Connections of callers that the entry has ended, by reason.',
--- a/src/wagtailhollow/internal/platform/prompts.py
+++ b/src/wagtailhollow/internal/platform/prompts.py
@@ -1,9 +1,12 @@
-"""Decodes the header ``X-Prompt-Prefix``, the parts of a call's prompt."""
+"""Decodes the headers that tell the prompt of a call and its size."""
 
 from __future__ import annotations
 
 import itertools
 
+MAX_DIGITS = 9
+"""Digits of a number of tokens that is read."""
+
 MAX_PARTS = 64
 """Parts of one prompt that are looked at."""
 
@@ -21,3 +24,12 @@
         for entry in value.split(b',')[:-1]
     )
     return tuple(itertools.islice(dict.fromkeys(filter(None, ids)), MAX_PARTS))
+
+
+def answer_tokens(value: bytes) -> int:
+    """Return the most tokens of an answer, 0 if the value does not tell.
+
+    :param value: tokens of the prompt and of the answer, separated by a comma.
+    """
+    count = value.partition(b',')[2].strip()
+    return int(count) if count.isdigit() and len(count) <= MAX_DIGITS else 0
--- a/tests/cover/test_direct_targets.py
+++ b/tests/cover/test_direct_targets.py
@@ -11,7 +11,7 @@
 from wagtailhollow import errors
 from wagtailhollow.internal.directory import follow, model, state
 from wagtailhollow.internal.entry import attempt
-from wagtailhollow.internal.entry.direct import targets
+from wagtailhollow.internal.entry.direct import cold_starts, targets
 from wagtailhollow.internal.routing import power_of_two
 
 ROUTE = types.SimpleNamespace(gap_s=0.12)
@@ -101,7 +101,7 @@
         assert has_capacity()
         send()
     assert not has_capacity()
-    deployment.now += targets.COLD_WINDOW_S + 0.1
+    deployment.now += cold_starts.WINDOW_S + 0.1
     assert has_capacity()
     for _ in range(10):
         send()
--- a/tests/cover/test_overload.py
+++ b/tests/cover/test_overload.py
@@ -16,6 +16,7 @@
     compose,
     targets,
 )
+from wagtailhollow.internal.entry.shortage import places
 from wagtailhollow.internal.experts.live import pass_time
 from wagtailhollow.internal.platform import settings
 
@@ -53,6 +54,8 @@
         is_late=is_late,
         route=route(**fields),
         regions=None,
+        passes=20.0,
+        remaining_s=lambda: 8.0,
     )
 
 
@@ -104,7 +107,7 @@
         if not targets_with_capacity(entry, call()):
             break
         running += 1
-    minimum = SLOTS * targets.MIN_CONCURRENCY_SHARE
+    minimum = SLOTS * places.MIN_CONCURRENCY_SHARE
     assert running >= minimum
     if running > minimum:
         assert factor * ENGINE.pass_s(running) <= GAP_S
@@ -163,7 +166,7 @@
             break
         entry.view.started(record(0))
         running += 1
-    assert SLOTS * targets.MIN_CONCURRENCY_SHARE <= running < SLOTS
+    assert SLOTS * places.MIN_CONCURRENCY_SHARE <= running < SLOTS
 
 
 def test_target_with_overdue_reports_is_used_last():
