Test of statuses: call until the odd engine got a call

Cause: of two engines one is chosen at random; six calls may all reach the sound one, so that the test failed twice in a run of 20 cases. Change: it calls until the odd engine got a call, 60 times at most; the checks on each answer are as before. Measured: the module passes, once.

--- a/tests/cover/test_statuses_of_answers.py
+++ b/tests/cover/test_statuses_of_answers.py
@@ -11,6 +11,10 @@
 from tests.cover.test_faulty_answers import SIGNATURE, run_scenario
 from wagtailhollow.internal.agent.backends import http_call, registry
 
+MIN_CALLS = 6
+MAX_CALLS = 60
+"""Targets are chosen at random, so that the odd one may be left out at first."""
+
 INVALID = ['000', '099', '101', '199', '600', '999', '1000', '2x0', '-20', '']
 
 
@@ -38,7 +42,9 @@
 
     async def scenario(site, engine):
         sound = 0
-        for number in range(6):
+        for number in range(MAX_CALLS):
+            if engine.runs and number >= MIN_CALLS:
+                break
             start_s = time.monotonic()
             async with site.call(route, f'r{number}') as resp:
                 body = await resp.read()
