--- a/tests/cover/test_statuses_of_answers.py
+++ b/tests/cover/test_statuses_of_answers.py
@@ -13,7 +13,7 @@
 
 MIN_CALLS = 6
 MAX_CALLS = 60
-"""Targets are chosen at random, so that the odd one may be left out at first."""
+"""Targets are chosen at random, so that the odd one may be left out."""
 
 INVALID = ['000', '099', '101', '199', '600', '999', '1000', '2x0', '-20', '']
 
