Decide on shortages only where calls compete by priority

Cause: for services whose calls are alike, keeping a backlog from the places of calls in time refuses it; it returns and is refused again, and no kind makes up for that. Change: the decision applies to a service if the routes to it differ in priority and two priorities have a twentieth of its calls each; a configuration has many routes that nobody calls. Elsewhere calls are served as before.

--- a/src/wagtailhollow/internal/entry/calls.py
+++ b/src/wagtailhollow/internal/entry/calls.py
@@ -33,7 +33,8 @@
 """
 
 
-def _random_retry_after_s(call: call_module.Call) -> float:
+def random_retry_after_s(call: call_module.Call) -> float:
+    """Return when the caller of a refused call should return."""
     return random.uniform(*RETRY_AFTER_RANGE_S)
 
 
@@ -58,7 +59,7 @@
     new_budget: Callable[[], budget.RetryPolicy] = budget.RETRY_POLICIES[
         budget.DEFAULT_POLICY
     ]
-    retry_after_s: Callable[[call_module.Call], float] = _random_retry_after_s
+    retry_after_s: Callable[[call_module.Call], float] = random_retry_after_s
 
 
 class Runner(Protocol):
--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -172,6 +172,7 @@
                 scope, receive, manifest.limits.max_body_bytes, allowed_s
             )
         service_name = _choose_service(route)
+        is_contested = self._demand.is_contested(service_name)
         cost, passes = self._work(service_name, rows)
         call = routed_call.RoutedCall(
             call_id=call_id,
@@ -201,7 +202,12 @@
                 connection.first_header(rows, headers.PROMPT_PREFIX)
             ),
             regions=_allowed_regions(route, organisation),
-            first_event_s=self._targets.first_event_s(service_name, route),
+            is_contested=is_contested,
+            first_event_s=(
+                self._targets.first_event_s(service_name, route)
+                if is_contested
+                else 0.0
+            ),
             cost=cost,
             passes=passes,
         )
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -6,7 +6,6 @@
 import contextlib
 import copy
 import dataclasses
-import operator
 import random
 
 from starlette import applications, routing
@@ -22,7 +21,7 @@
 from ...retries import budget
 from ...routing import power_of_two
 from .. import caller_memory, calls, http_protocol
-from ..shortage import demand, outlook, waiting
+from ..shortage import demand, order, outlook, waiting
 from . import (
     app,
     attempts,
@@ -150,9 +149,7 @@
             cfg.ip, lambda: len(self._directory.all_targets())
         )
         self._demand = demand.Demand()
-        self._turns = waiting.OrderedTurns(
-            operator.attrgetter('rank'), _retry_after_s
-        )
+        self._turns = waiting.OrderedTurns(_rank, _retry_after_s)
         self._targets = targets.DirectTargets(
             self._directory,
             self._cold_limit,
@@ -462,5 +459,11 @@
         )
 
 
+def _rank(call: routed_call.RoutedCall) -> order.Rank | None:
+    return call.rank if call.is_contested else None
+
+
 def _retry_after_s(call: routed_call.RoutedCall) -> float:
-    return outlook.retry_after_s(call.remaining_s(), random)
+    if call.is_contested:
+        return outlook.retry_after_s(call.remaining_s(), random)
+    return calls.random_retry_after_s(call)
--- a/src/wagtailhollow/internal/entry/direct/routed_call.py
+++ b/src/wagtailhollow/internal/entry/direct/routed_call.py
@@ -26,6 +26,8 @@
     :ivar prompt_parts: ids of the parts of the prompt that other calls may
         share, in order.
     :ivar regions: regions that may serve the call; None means all.
+    :ivar is_contested: whether calls of its service compete by priority, see
+        :meth:`shortage.demand.Demand.is_contested`.
     :ivar first_event_s: time from sending the call to its first event.
     :ivar cost: work of the call, in usual calls of its service.
     :ivar passes: passes of an engine that the answer takes, 0 if unknown.
@@ -40,6 +42,7 @@
     is_caller_retry: bool = False
     prompt_parts: tuple[str, ...] = ()
     regions: frozenset[str] | None = None
+    is_contested: bool = False
     first_event_s: float = 0.0
     cost: float = 1.0
     passes: float = 0.0
--- a/src/wagtailhollow/internal/entry/direct/targets.py
+++ b/src/wagtailhollow/internal/entry/direct/targets.py
@@ -160,7 +160,8 @@
             record.slots,
             candidate.cap,
             call.is_late,
-            self._pace(call, record.name) is pace.Pace.IN_TIME,
+            not call.is_contested
+            or self._pace(call, record.name) is pace.Pace.IN_TIME,
         )
         return (
             candidate.load * candidate.cap < limit
@@ -177,7 +178,7 @@
         A call yields to those that go before it, and to the pace at which it
         has to be answered.
         """
-        if not candidates or not call.route.gap_s:
+        if not candidates or not call.route.gap_s or not call.is_contested:
             return candidates
         suitable = pace.preferred(
             candidates,
--- a/src/wagtailhollow/internal/entry/shortage/demand.py
+++ b/src/wagtailhollow/internal/entry/shortage/demand.py
@@ -14,6 +14,7 @@
 
 from ...datagram import demand_rows
 from ...directory import model
+from ...observability import decisions
 from . import order
 
 RATE_WINDOW_S = 1.0
@@ -24,6 +25,10 @@
 subscriptions."""
 
 
+CONTESTED_SHARE = 0.05
+"""Part of a service's calls from which those of a priority compete."""
+
+
 class _Rate:
     """Exponentially decaying rate of events."""
 
@@ -52,6 +57,7 @@
             tuple[float, dict[demand_rows.Key, float]]
         ] = collections.deque()
         self._entries = 1
+        self._contested: set[str] = set()
         self._levels: dict[str, set[int]] = {}
 
     def configure(self, manifest: model.Manifest) -> None:
@@ -60,6 +66,7 @@
             item.priority for item in (manifest.organisations or {}).values()
         } - {None}
         levels = collections.defaultdict(set)
+        priorities = collections.defaultdict(set)
         for route in manifest.routes:
             found = {
                 order.level_of(priority, route.priority)
@@ -67,7 +74,14 @@
             }
             for share in route.shares:
                 levels[share.service] |= found
+                priorities[share.service].add(route.priority)
         self._levels = dict(levels)
+        contested = {
+            service for service, found in priorities.items() if len(found) > 1
+        }
+        if contested != self._contested:
+            self._contested = contested
+            decisions.log('services_contested', services=sorted(contested))
         known = {
             demand_rows.key_of(service, level)
             for service, found in levels.items()
@@ -77,6 +91,19 @@
             key: rate for key, rate in self._own.items() if key in known
         }
 
+    def is_contested(self, service: str) -> bool:
+        """Return whether calls of routes of different priority compete.
+
+        A configuration may have routes that nobody calls.
+        """
+        if service not in self._contested:
+            return False
+        by_priority: collections.Counter[int] = collections.Counter()
+        for level, rate in self.rates(service).items():
+            by_priority[level % order.PRIORITIES] += rate
+        least = CONTESTED_SHARE * by_priority.total()
+        return sum(rate > least for rate in by_priority.values()) > 1
+
     def record(self, service: str, level: int) -> None:
         """Count a call that has arrived and can still be in time."""
         now_s = self._clock()
--- a/src/wagtailhollow/internal/entry/shortage/order.py
+++ b/src/wagtailhollow/internal/entry/shortage/order.py
@@ -28,9 +28,13 @@
 
     @property
     def queue_level(self) -> int:
-        """Return the priority for the queue of a target; 0 goes first."""
+        """Return the priority for the queue of a target; 0 goes first.
+
+        There late calls of all priorities follow, as the queue is short and a
+        call in time that waits behind a late one is late as well.
+        """
         priority = self.level // PRIORITIES
-        return RESUMED_QUEUE_LEVEL + 1 + 2 * priority + self.is_late
+        return RESUMED_QUEUE_LEVEL + 1 + priority + PRIORITIES * self.is_late
 
 
 def level_of(priority: int, route_priority: int) -> int:
--- a/src/wagtailhollow/internal/entry/shortage/waiting.py
+++ b/src/wagtailhollow/internal/entry/shortage/waiting.py
@@ -67,23 +67,26 @@
 
     A turn is passed on when a call has found a target. When it has not, calls
     of other standings look as well, since limits differ by standing; no
-    further one of the same standing does.
+    further one of the same standing does. Calls that do not compete by
+    priority look at random times.
     """
 
     def __init__(
         self,
-        rank: Callable[[call_module.Call], order.Rank],
+        rank: Callable[[call_module.Call], order.Rank | None],
         retry_after_s: Callable[[call_module.Call], float],
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Create an empty queue for each service.
 
+        :param rank: returns the rank of a call, None if it does not compete.
         :param retry_after_s: returns when a refused caller should return.
         """
         self._rank = rank
         self._retry_after_s = retry_after_s
         self._clock = clock
         self._queues: dict[str, _Queue] = {}
+        self._random = RandomTurns()
 
     def require_chance(self, call: call_module.Call) -> None:
         """See :class:`Turns`.
@@ -92,6 +95,8 @@
         again.
         """
         rank = self._rank(call)
+        if rank is None:
+            return
         queue = self._queue(call.service_name)
         if not rank.is_first_try or outlook.has_chance(
             queue.outlook_of(call), call.remaining_s()
@@ -108,6 +113,9 @@
 
     async def wait(self, call: call_module.Call, until_s: float) -> None:
         """See :class:`Turns`."""
+        if self._rank(call) is None:
+            await self._random.wait(call, until_s)
+            return
         queue = self._queue(call.service_name)
         loop = asyncio.get_running_loop()
         waiter = _Waiter(call, loop.create_future())
@@ -122,7 +130,8 @@
 
     def found(self, call: call_module.Call) -> None:
         """See :class:`Turns`."""
-        self._queue(call.service_name).found(call)
+        if self._rank(call) is not None:
+            self._queue(call.service_name).found(call)
 
     def _queue(self, service: str) -> _Queue:
         if service not in self._queues:
