Count streams only among the calls that compete

Ruled out: a larger share for a priority to compete; a least urgent kind may be as rare as probes are. Change: calls without a stream are not counted.

--- a/src/wagtailhollow/internal/entry/direct/app.py
+++ b/src/wagtailhollow/internal/entry/direct/app.py
@@ -212,7 +212,7 @@
             passes=passes,
         )
         if not call.is_late:
-            self._demand.record(service_name, call.level)
+            self._demand.record(service_name, call.level, call.is_stream)
         return call
 
     def _work(
--- a/src/wagtailhollow/internal/entry/shortage/demand.py
+++ b/src/wagtailhollow/internal/entry/shortage/demand.py
@@ -104,8 +104,14 @@
         least = CONTESTED_SHARE * by_priority.total()
         return sum(rate > least for rate in by_priority.values()) > 1
 
-    def record(self, service: str, level: int) -> None:
-        """Count a call that has arrived and can still be in time."""
+    def record(self, service: str, level: int, is_stream: bool = True) -> None:
+        """Count a call that has arrived and can still be in time.
+
+        Calls without a stream, as probes on routes of their own, take no
+        places for long and do not compete.
+        """
+        if not is_stream:
+            return
         now_s = self._clock()
         self._own.setdefault(
             demand_rows.key_of(service, level), _Rate(now_s)
--- a/tests/cover/test_shortage.py
+++ b/tests/cover/test_shortage.py
@@ -184,6 +184,8 @@
     """
     rates = demand.Demand(Clock())
     rates.configure(manifest(0, 1, 2))
+    for priority in (0, 2):
+        rates.record(SERVICE, order.level_of(0, priority), is_stream=False)
     for priority in called:
         rates.record(SERVICE, order.level_of(0, priority))
         rates.record(SERVICE, order.level_of(1, priority))
