Review: the shared stand-ins move into review/6

Cause: folders of cases are 6 to 10, and the stand-ins lay in a folder of their own. Change: they are modules of review/6; the scripts change in their imports only.

--- a/review/parts/consumers.py
+++ b/review/6/callers.py
@@ -7,7 +7,8 @@
 import itertools
 from collections.abc import Callable, Sequence
 
-from . import deployment, http
+import peer_http as http
+import small_deployment as deployment
 
 _NUMBERS = itertools.count(1)
 
--- a/review/parts/deployment.py
+++ b/review/6/small_deployment.py
@@ -18,7 +18,7 @@
 import time
 from typing import Any
 
-from . import http
+import peer_http as http
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 MODEL_SERVICE = 'svc-engines'
