Let registrations of unknown services displace no targets

Cause: a later start at an address ends the earlier one there. The rule was applied to every registration that can be decoded, whether or not its service is one of the manifest's, and by deleting the earlier registration, so that neither a manifest that arrived after the listing nor the end of the other registration could undo it. Ruled out by the entry's log: no object_unreadable, no attempt, the manifest in force before the first refusal; for each of the three targets one target_replaced by the odd registration.

Change: directory/addresses.py decides which registrations at an address are in force, by the services of the manifest; a replaced one is marked, and judged anew when a registration or the manifest changes. When the later start ends or moves, those it had replaced are dropped, as before. The same registrations no longer receive the load reports of an address, nor count where shares of limits are divided without a list of entries. They are logged (target_of_unknown_service) and counted (wagtailhollow_unusable_input_total).

Related places: agents take the peers of their own service from a listing, so that other services have no part in it; the map of addresses that they make has no rule of starts. A registration with a field missing or of another type is rejected by its decoder. Withdrawals hold by name. On the way through agents the host list is the platform's and has one writer.

--- a/src/wagtailhollow/internal/directory/state.py
+++ b/src/wagtailhollow/internal/directory/state.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from ..observability import decisions
-from . import follow, model
+from . import addresses, follow, model
 
 LAPSE_GRACE_S = 2.2
 """How long a target whose registration expired in an outage gets new calls.
@@ -30,7 +30,8 @@
         self._clock = clock
         self._routes: dict[str, list[model.Route]] = {}
         self._targets: dict[str, model.TargetRecord] = {}
-        self._name_by_address: dict[str, str] = {}
+        self._addresses = addresses.Addresses()
+        self._superseded: dict[str, str] = {}
         self._lapsed_until_by_name: dict[str, float] = {}
         self._received_s: dict[tuple[str, int], float] = {}
         self._removals_deferred_until_s = 0.0
@@ -53,6 +54,7 @@
             self.manifest = manifest
             self._manifest_era = update.era
             self._routes = _routes_by_host(manifest.routes)
+            self._apply_services()
             decisions.log(
                 'manifest_applied',
                 version=manifest.version,
@@ -113,8 +115,9 @@
         }
         if update.is_listing:
             gone |= self._targets.keys() - update.documents.keys()
-        for name in gone & self._targets.keys():
-            self._remove_or_mark_lapsed(name, now_s)
+        for name in gone:
+            if name in self._targets:
+                self._remove_or_mark_lapsed(name, now_s)
         for record in update.documents.values():
             if record is not None:
                 self._register(record, now_s)
@@ -176,11 +179,19 @@
 
     def all_targets(self) -> list[model.TargetRecord]:
         """Return all targets: also leaving, withdrawn and lapsed ones."""
-        return list(self._targets.values())
+        return [
+            record
+            for record in self._targets.values()
+            if record.name not in self._superseded
+        ]
+
+    def known_targets(self) -> list[model.TargetRecord]:
+        """Return those of :meth:`all_targets` whose service is known."""
+        return list(filter(self._is_known, self.all_targets()))
 
     def target_at(self, address: str) -> model.TargetRecord | None:
-        """Return the target that was registered last at an address."""
-        return self._targets.get(self._name_by_address.get(address, ''))
+        """Return the target that started last at an address."""
+        return self._addresses.holder(address, self._known_services())
 
     def ready(self, name: str) -> model.TargetRecord | None:
         """Return the target *name* if it accepts new calls."""
@@ -204,6 +215,7 @@
         now_s = self._clock()
         return (
             record.state is model.TargetState.READY
+            and record.name not in self._superseded
             and record.incarnation not in self._leaving
             and record.incarnation not in self._unconfirmed
             and record.data_centre not in self.withdrawn
@@ -211,13 +223,32 @@
             and self._lapsed_until_by_name.get(record.name, now_s) >= now_s
         )
 
+    def _known_services(self) -> Collection[str] | None:
+        """Return the services of the manifest, None before there is one."""
+        return self.manifest.services.keys() if self.manifest else None
+
+    def _is_known(self, record: model.TargetRecord) -> bool:
+        services = self._known_services()
+        return services is None or record.service in services
+
+    def _apply_services(self) -> None:
+        """Judge the registrations by the services of a new manifest."""
+        for record in self._targets.values():
+            self._log_if_unknown(record)
+        is_changed = False
+        for address in list(self._addresses.shared()):
+            is_changed |= self._settle(address)
+        if is_changed:
+            self._notify_listeners()
+
     def _register(self, record: model.TargetRecord, now_s: float) -> None:
-        if not self._replace_earlier_start(record):
-            return
         before = self._targets.get(record.name)
-        self._gone.pop(record.incarnation, None)
+        if before is not None and before.address != record.address:
+            self._drop_replaced_by(before.name)
+            self._addresses.remove(before)
+            self._settle(before.address)
         self._targets[record.name] = record
-        self._name_by_address[record.address] = record.name
+        self._addresses.put(record)
         self._lapsed_until_by_name.pop(record.name, None)
         if before is None or before.cold_s != record.cold_s:
             self._received_s[record.incarnation] = now_s
@@ -231,40 +262,76 @@
                 state=record.state.value,
                 cold_s=record.cold_s,
             )
+            self._log_if_unknown(record)
+        self._settle(record.address)
+        if record.name not in self._superseded:
+            self._gone.pop(record.incarnation, None)
+
+    def _log_if_unknown(self, record: model.TargetRecord) -> None:
+        if not self._is_known(record):
+            decisions.log(
+                'target_of_unknown_service',
+                target=record.name,
+                service=record.service,
+                address=record.address,
+            )
 
-    def _replace_earlier_start(self, record: model.TargetRecord) -> bool:
-        """Drop an earlier start at the address of *record*.
+    def _settle(self, address: str) -> bool:
+        """Decide which registrations at an address are in force.
 
-        Returns False if a later start is registered at the address. After a
-        power loss, the registration from before remains for some seconds
-        beside that of the target's next start.
+        After a power loss, the registration from before remains for some
+        seconds beside that of the target's next start.
+
+        :return: whether others are in force than before.
         """
-        other = self._targets.get(
-            self._name_by_address.get(record.address, '')
-        )
-        if (
-            other is None
-            or other.name == record.name
-            # The other target has restarted at another address.
-            or other.address != record.address
-        ):
-            return True
-        if other.started_ms > record.started_ms:
-            return False
-        if other.started_ms < record.started_ms:
-            decisions.log('target_replaced', target=other.name, by=record.name)
-            self._drop(other.name)
-        return True
+        found = self._addresses.superseded(address, self._known_services())
+        is_changed = False
+        for name in self._addresses.names(address):
+            later = found.get(name)
+            if later == self._superseded.get(name):
+                continue
+            is_changed = True
+            incarnation = self._targets[name].incarnation
+            if later is None:
+                del self._superseded[name]
+                self._gone.pop(incarnation, None)
+                decisions.log('target_reinstated', target=name)
+            else:
+                self._superseded[name] = later
+                self._remember_gone(incarnation)
+                decisions.log('target_replaced', target=name, by=later)
+        return is_changed
+
+    def _remember_gone(self, incarnation: tuple[str, int]) -> None:
+        self._gone[incarnation] = None
+        if len(self._gone) > MAX_LEAVING:
+            del self._gone[next(iter(self._gone))]
 
     def _drop(self, name: str) -> None:
-        self._lapsed_until_by_name.pop(name, None)
+        self._drop_replaced_by(name)
         record = self._targets.pop(name)
-        if self._name_by_address.get(record.address) == name:
-            del self._name_by_address[record.address]
+        self._forget(record)
+        self._settle(record.address)
+
+    def _drop_replaced_by(self, name: str) -> None:
+        """Forget the earlier starts that a target has replaced.
+
+        These have ended: they are used again only if they register again.
+        """
+        replaced = [
+            earlier
+            for earlier, later in self._superseded.items()
+            if later == name
+        ]
+        for earlier in replaced:
+            self._forget(self._targets.pop(earlier))
+
+    def _forget(self, record: model.TargetRecord) -> None:
+        self._addresses.remove(record)
+        self._superseded.pop(record.name, None)
+        self._lapsed_until_by_name.pop(record.name, None)
         self._received_s.pop(record.incarnation, None)
-        self._gone[record.incarnation] = None
-        if len(self._gone) > MAX_LEAVING:
-            del self._gone[next(iter(self._gone))]
+        self._remember_gone(record.incarnation)
         if not record.started_ms:
             # The next start of this target cannot be told from this one.
             self._leaving.pop(record.incarnation, None)
--- a/src/wagtailhollow/internal/entry/direct/compose.py
+++ b/src/wagtailhollow/internal/entry/direct/compose.py
@@ -15,7 +15,7 @@
 from ...directory import follow, model, state
 from ...hostcfg import model as hostcfg
 from ...http1 import byte_budget, pool
-from ...observability import decisions
+from ...observability import decisions, metrics
 from ...platform import manifest, store
 from ...platform import targets as registrations
 from ...retries import budget
@@ -146,7 +146,7 @@
         self._connections = pool.ConnectionPool(budget)
         self._directory.target_listeners.append(self._targets_changed)
         self._shares = shares.EntryShares(
-            cfg.ip, lambda: len(self._directory.all_targets())
+            cfg.ip, lambda: len(self._directory.known_targets())
         )
         self._demand = demand.Demand()
         self._turns = waiting.OrderedTurns(_rank, _retry_after_s)
@@ -239,6 +239,7 @@
 
     async def start(self) -> None:
         """See :class:`lifecycle.Daemon`."""
+        decisions.observers.append(metrics.count_unusable_input)
         self._tasks = [
             lifecycle.create_background_task(follower.run())
             for follower in self._followers
@@ -280,6 +281,9 @@
             self._metrics_server.stop(),
         )
         self._endpoint.close()
+        with contextlib.suppress(ValueError):
+            # The start may have failed.
+            decisions.observers.remove(metrics.count_unusable_input)
 
     def reconfigure(self, cfg: hostcfg.HostSettings) -> None:
         """See :class:`settings_watch.ReconfigurableDaemon`."""
@@ -315,7 +319,7 @@
             return 'draining'
         if self._directory.manifest is None:
             return 'no configuration received yet'
-        if not self._directory.all_targets():
+        if not self._directory.known_targets():
             return 'no targets registered yet'
         if not self._freshness.may_accept_keys:
             return 'the configuration may be outdated'
--- a/src/wagtailhollow/internal/observability/metrics.py
+++ b/src/wagtailhollow/internal/observability/metrics.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from typing import Any
+
 import prometheus_client
 
 # The latency objectives, 1.5 s and 33 ms, are bucket bounds, so that the share
@@ -106,6 +109,12 @@
     'Connections of callers that the entry has ended, by reason.',
     ('reason',),
 )
+unusable_input = prometheus_client.Counter(
+    'wagtailhollow_unusable_input',
+    'Objects of the store and answers of targets that were not used, by the '
+    'event of the log.',
+    ('event',),
+)
 claim_outcomes = prometheus_client.Counter(
     'wagtailhollow_claim_outcomes',
     'Claimed calls by outcome: done, not_run, unknown, in_progress.',
@@ -116,3 +125,13 @@
     'Bytes of control messages, by direction.',
     ('direction',),
 )
+
+UNUSABLE_INPUT_EVENTS = frozenset(
+    {'object_unreadable', 'target_of_unknown_service'}
+)
+
+
+def count_unusable_input(event: str, fields: Mapping[str, Any]) -> None:
+    """Count a decision not to use what another program sent."""
+    if event in UNUSABLE_INPUT_EVENTS:
+        unusable_input.labels(event).inc()
--- a/tests/cover/test_directory.py
+++ b/tests/cover/test_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -178,6 +179,90 @@
     assert directory.targets('s') == [moved, new]
 
 
+def manifest_of(revision, *services):
+    found = manifest(revision)
+    rows = {name: model.Service(name) for name in services}
+    return dataclasses.replace(found, services=rows)
+
+
+@pytest.fixture(params=['manifest first', 'registrations first'])
+def in_order(request, directory):
+    """Return a function that applies a manifest and a listing."""
+
+    def apply(found, *records):
+        work = [
+            lambda: directory.apply_manifest(update({'main': found})),
+            lambda: directory.apply_targets(
+                update({item.name: item for item in records}, True)
+            ),
+        ]
+        if request.param == 'registrations first':
+            work.reverse()
+        for step in work:
+            step()
+        return directory
+
+    return apply
+
+
+def test_registration_of_an_unknown_service_displaces_no_target(in_order):
+    """Guards against sound targets that another writer's objects displace."""
+    other = target('x', service='other', started_ms=9)
+    found = in_order(manifest_of(1, 's'), target('i'), other)
+    assert found.targets('s') == [target('i')]
+    assert found.ready('i') is not None
+    assert found.target_at('10.0.0.1:80') == target('i')
+    assert found.known_targets() == [target('i')]
+
+
+def test_such_a_registration_may_come_again_and_end(in_order):
+    """Guards against the same by changes of such an object, or its end."""
+    found = in_order(manifest_of(1, 's'), target('i'))
+    for changed in (
+        target('x', service='other', started_ms=9),
+        target('x', service='other', started_ms=9, slots=7),
+        target('x', service='other', address='10.0.0.2:80', started_ms=10),
+        target('x', service='other', started_ms=11),
+        None,
+    ):
+        found.apply_targets(update({'x': changed}))
+        assert found.targets('s') == [target('i')]
+        assert found.target_at('10.0.0.1:80') == target('i')
+
+
+def test_later_start_replaces_once_a_manifest_names_its_service(directory):
+    """Guards against calls to a target whose address has a new service."""
+    new = target('n', service='t', started_ms=2)
+    directory.apply_manifest(update({'main': manifest_of(1, 's')}))
+    directory.apply_targets(update({'i': target('i'), 'n': new}, True))
+    assert directory.targets('s') == [target('i')]
+    directory.apply_manifest(update({'main': manifest_of(2, 's', 't')}))
+    assert directory.targets('s') == []
+    assert directory.targets('t') == [new]
+    # The start that it has replaced is not used again with its own end.
+    directory.apply_targets(update({'n': None}))
+    assert directory.all_targets() == []
+
+
+def test_replaced_target_stays_unused_when_its_successor_moves(directory):
+    """Guards against calls to a start that has ended at an address."""
+    old = target('i-1')
+    new = target('i-2', started_ms=2)
+    directory.apply_targets(update({'i-1': old, 'i-2': new}, True))
+    moved = target('i-2', started_ms=3, address='10.0.0.2:80')
+    directory.apply_targets(update({'i-2': moved}))
+    assert directory.targets('s') == [moved]
+
+
+def test_all_registrations_of_an_address_may_end_at_once(directory):
+    """Guards against a listing that cannot be applied."""
+    records = [target(f'i-{n}', started_ms=n) for n in range(1, 4)]
+    directory.apply_targets(update({r.name: r for r in records}, True))
+    assert directory.targets('s') == records[-1:]
+    directory.apply_targets(update({}, True))
+    assert directory.all_targets() == []
+
+
 def test_target_removed_without_an_outage_is_removed_at_once(directory):
     """Guards against a grace period for targets that have left."""
     directory.apply_targets(update({'i': target('i')}))
--- a/tests/cover/test_unreadable_objects.py
+++ b/tests/cover/test_unreadable_objects.py
@@ -256,3 +256,20 @@
                 assert resp.status == 200
 
     run_scenario(scenario)
+
+
+def test_registrations_of_an_unknown_service_do_not_disturb_calls():
+    """Guards against calls that fail beside such objects at the addresses."""
+
+    async def scenario(site):
+        engines = site.engines_of(direct_deployment.PLAIN_SERVICE)
+        for number, engine in enumerate(engines):
+            later_ms = engine.registration()['born'] + 30_000
+            other = engine.registration(service='unknown', born=later_ms)
+            site.store.put('servers', f'x-{number}', other)
+        await asyncio.sleep(0.2)
+        for number in range(8):
+            async with site.call('once', f'r{number}') as resp:
+                assert resp.status == 200
+
+    run_scenario(scenario)
