Log delays of the event loop

Change: all four programs time a timer of 0.5 s and log loop_delayed from 0.1 s on, with the processor time of the process meanwhile: as long as the time that has passed, the event loop worked; near zero, the process was not run.

--- a/src/wagtailhollow/internal/daemon/lifecycle.py
+++ b/src/wagtailhollow/internal/daemon/lifecycle.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
+from . import loop_delay
+
 # Each program routes these records in its own way. Importing absl.logging here
 # would cost each program that does not use it 3 MB.
 _LOG = logging.getLogger(__name__)
@@ -59,6 +61,7 @@
         await daemon.stop()
         return 1
     _LOG.info('started')
+    delays = create_background_task(loop_delay.watch())
     await stop_requested.wait()
     _LOG.info('draining')
     drain = asyncio.create_task(daemon.drain())
@@ -66,8 +69,8 @@
     await asyncio.wait(
         (drain, immediate_stop), return_when=asyncio.FIRST_COMPLETED
     )
-    immediate_stop.cancel()
-    drain.cancel()
+    for task in (immediate_stop, drain, delays):
+        task.cancel()
     await daemon.stop()
     _LOG.info('stopped')
     return 0
