Bound the events of a stream by what an engine can make

Cause: two line feeds end an event, and each event was split off, searched for its id and joined again, 10 ms for a read of 16 KB. The bytes of one event were bounded, which empty events never reach; nothing bounded their number. Each also put off the time-out for streams without events.

Change: an attempt may have 4,096 events, and 1,000 more for each second since the head; more end it (answer_unusable in the log and the metric), and another target may serve the call. An engine makes one event in a pass of milliseconds, and what piles up while a host is frozen grows with that time, so that no engine meets the bound. Only events with a field put off the time-out.

Through agents no event is looked at. Store and engine clients read no events.

--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -314,6 +314,13 @@
                 await self._relay_response(conn, head)
         except connection.ResponseLost as exc:
             self._is_lost_by_peer = conn.is_closed_by_peer
+            if isinstance(exc, connection.ResponseUnusable):
+                decisions.log(
+                    'answer_unusable',
+                    request_id=self.call.call_id,
+                    target=self.record.name,
+                    reason=str(exc),
+                )
             if not exc.was_sent:
                 self.is_sent = False
                 _fail(Phase.REFUSED, errors.ErrorKind.NO_TARGET, str(exc))
@@ -456,7 +463,7 @@
         view: targets.DirectTargets,
     ) -> None:
         self._validate_success(head)
-        self.position.discard_partial()
+        self.position.begin_attempt()
         rows = [row for row in head.headers if row[0] != b'content-length']
         event_s = time.monotonic()
         while True:
@@ -476,19 +483,18 @@
                 )
             try:
                 complete = (
-                    self.position.feed(data)
+                    self.position.feed(data, time.monotonic() - self.head_s)
                     if data
                     else self.position.remainder()
                 )
-            except events.EventTooLong as exc:
-                raise connection.ResponseLost(
-                    f'event too long: {exc}'
-                ) from exc
+            except events.UnusableStream as exc:
+                raise connection.ResponseUnusable(str(exc)) from exc
             self._hold_partial_event()
             if (complete or not data) and not self._response_sink.is_started:
                 await self._response_sink.start(head.status, rows)
             if complete:
-                event_s = time.monotonic()
+                if events.has_field(complete):
+                    event_s = time.monotonic()
                 self._record_answer()
                 await self._response_sink.write(complete)
             if not data:
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -74,6 +74,10 @@
         self.was_sent = was_sent
 
 
+class ResponseUnusable(ResponseLost):
+    """The peer sends what no response contains, or more than it may."""
+
+
 class _State(enum.Enum):
     IDLE = 'idle'
     HEAD = 'head'
--- a/src/wagtailhollow/internal/observability/metrics.py
+++ b/src/wagtailhollow/internal/observability/metrics.py
@@ -127,7 +127,7 @@
 )
 
 UNUSABLE_INPUT_EVENTS = frozenset(
-    {'object_unreadable', 'target_of_unknown_service'}
+    {'answer_unusable', 'object_unreadable', 'target_of_unknown_service'}
 )
 
 
--- a/standins/direct_deployment.py
+++ b/standins/direct_deployment.py
@@ -36,6 +36,7 @@
 API_KEY = 'key-1'
 EVENT_COUNT = 8
 DRIBBLE_PAUSE_S = 0.2
+FLOOD_PAUSE_S = 0.002
 HEAD_TO_CRASH_S = 0.02
 ROUTE_TIMEOUT_MS = 3_000
 INTERNAL_PORT = 7340
@@ -220,6 +221,14 @@
     disconnected: bool = False
 
 
+FLOODS = {
+    'empty lines': b'\n' * 16_000,
+    'same event': b'id: 1\ndata: x\n\n' * 1_000,
+    'events without id': b'data: x\n\n' * 1_600,
+    'comments': b':\n\n' * 5_000,
+}
+
+
 class Engine:
     """Fake engine with a queue of behaviours.
 
@@ -231,7 +240,9 @@
     but its framing is complete), ``hang`` (no answer until the client
     disconnects), ``bare`` (no signature header), ``busy`` (503 that does not
     say whether the call ran), ``dribble`` (after half of the events a stream
-    sends a byte of a comment now and then).
+    sends a byte of a comment now and then), ``lines`` (the same with an empty
+    line), or one of :data:`FLOODS` (a
+    stream consists of these bytes and has no end).
 
     :ivar gap_s: time between two events of a stream.
     :ivar silence_before: further time before the event with a number.
@@ -350,6 +361,9 @@
             await asyncio.sleep(HEAD_TO_CRASH_S)
             req.scope['abort_connection']()
             return
+        while behaviour in FLOODS:
+            yield FLOODS[behaviour]
+            await asyncio.sleep(FLOOD_PAUSE_S)
         prompt = received.headers.get('x-prompt-prefix', '')
         if self.crash_part and f'{self.crash_part}:' in prompt:
             await asyncio.sleep(HEAD_TO_CRASH_S)
@@ -370,6 +384,9 @@
             while behaviour == 'dribble' and number == EVENT_COUNT // 2:
                 yield b':'
                 await asyncio.sleep(DRIBBLE_PAUSE_S)
+            while behaviour == 'lines' and number == EVENT_COUNT // 2:
+                yield b'\n\n'
+                await asyncio.sleep(DRIBBLE_PAUSE_S)
             await asyncio.sleep(self.gap_s)
 
 
--- a/tests/cover/test_bytes_properties.py
+++ b/tests/cover/test_bytes_properties.py
@@ -204,7 +204,7 @@
     position = events.EventPosition()
     forwarded = b''
     for is_last, stop in [*((False, stop) for stop in breaks), (True, 0)]:
-        position.discard_partial()
+        position.begin_attempt()
         done = int(position.last_id or b'0')
         run = b''.join(all_events[max(0, done - repeats_last) :])
         if not is_last:
