Keep bytes of a stream that arrive in the moment of a time-out

What callers saw: a stream without its first event, or without more, that ended as whole.

Cause: before its first event a stream was read in a task of its own, and a time-out of the wait for that task led to another read. If the read had ended in the same turn of the event loop, its bytes were dropped with the task.

Change: entry/direct/answer_wait.py makes all waits for an answer, without tasks; the connection keeps bytes until it has returned them, and its wait for a head can be repeated, too. attempts.py gets shorter by 90 lines.

--- a/src/wagtailhollow/internal/entry/direct/attempts.py
+++ b/src/wagtailhollow/internal/entry/direct/attempts.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import time
-from collections.abc import Callable, Coroutine
-from typing import Any, NoReturn, TypeVar
+from collections.abc import Callable
+from typing import NoReturn
 
 from .... import errors
 from ...directory import model
@@ -15,7 +14,7 @@
 from ...platform import headers
 from ..attempt import Attempt, AttemptFailed, Phase
 from . import (
-    caller_timeouts,
+    answer_wait,
     ended_targets,
     events,
     prompt_holds,
@@ -25,8 +24,6 @@
     targets,
 )
 
-T = TypeVar('T')
-
 BUFFERED_BYTES = 64 * 1024
 """Size up to which a response that is not a stream is buffered until it is
 complete, so that another target can be tried; a longer one is relayed as it
@@ -38,10 +35,6 @@
 
 CONNECTION_MAX_IDLE_S = 20.0
 
-REPORT_CHECK_PERIOD_S = 0.1
-"""Period of the check whether the load reports of an unresponsive target are
-overdue; shorter than the agents' report period of 0.15 s."""
-
 SCARCE_EVENT_BYTES = 8 * 1024
 """Size of an incomplete event from which its stream is given up while the
 budget for the bytes of answers is exceeded."""
@@ -302,14 +295,21 @@
         self._conn = conn
         try:
             self.is_sent = True
-            head = self.head = await self._fetch_head(conn, view)
+            conn.start(
+                requests.target_request(self.call, self.record, self.position)
+            )
+            wait = answer_wait.AnswerWait(
+                conn, view, self.record, self.call.route, self._can_be_replaced
+            )
+            head = await (wait.head() if self._can_resume else conn.head())
+            self.head = head
             self.head_s = time.monotonic()
             view.record_load_header(self.record, head.get(headers.LOAD))
             if self.is_leaving:
                 view.mark_leaving(self.record)
             self._raise_if_refused(head, view)
             if self.call.is_stream and head.status == 200:
-                await self._relay_stream(conn, head, view)
+                await self._relay_stream(conn, head, wait)
             else:
                 await self._relay_response(conn, head)
         except connection.ResponseLost as exc:
@@ -328,56 +328,10 @@
         finally:
             self._partial.hold(0)
 
-    async def _fetch_head(
-        self, conn: connection.HttpConnection, view: targets.DirectTargets
-    ) -> connection.Head:
-        """Send the request and return the head of the response.
-
-        If the load reports of the target are overdue as well, its host may be
-        frozen. A resumable stream then fails over before its caller
-        disconnects.
-        """
-        sending = conn.send(
-            requests.target_request(self.call, self.record, self.position)
-        )
-        if self._can_resume:
-            return await self._wait_unless_silent(sending, view)
-        return await sending
-
     @property
     def _can_resume(self) -> bool:
         return self.call.is_stream and self.call.route.is_resumable
 
-    async def _wait_unless_silent(
-        self, work: Coroutine[Any, Any, T], view: targets.DirectTargets
-    ) -> T:
-        """Return the first bytes of a stream; raise if none will come.
-
-        A slow engine is waited for as long as its agent reports passes of its
-        group, or as no other target can take the call.
-        """
-        task = asyncio.ensure_future(work)
-        timeout_s = caller_timeouts.idle_timeout_s(self.call.route, 0.0)
-        try:
-            await asyncio.wait({task}, timeout=timeout_s)
-            while not task.done() and not (
-                (
-                    view.is_report_overdue(self.record)
-                    or view.is_stalled(self.record)
-                )
-                and self._can_be_replaced()
-            ):
-                await asyncio.wait({task}, timeout=REPORT_CHECK_PERIOD_S)
-            if not task.done():
-                raise connection.ResponseLost(
-                    'the target is silent, and so is its agent or its group'
-                )
-            return await task
-        finally:
-            if not task.done():
-                task.cancel()
-                await asyncio.gather(task, return_exceptions=True)
-
     def fail(self, kind: errors.ErrorKind, message: str) -> NoReturn:
         """Raise AttemptFailed after the request was sent.
 
@@ -460,14 +414,14 @@
         self,
         conn: connection.HttpConnection,
         head: connection.Head,
-        view: targets.DirectTargets,
+        wait: answer_wait.AnswerWait,
     ) -> None:
         self._validate_success(head)
         self.position.begin_attempt()
         rows = [row for row in head.headers if row[0] != b'content-length']
         event_s = time.monotonic()
         while True:
-            data = await self._read_chunk(conn, view, event_s)
+            data = await self._read_chunk(conn, wait, event_s)
             if not data and self.position.remainder().strip():
                 raise connection.ResponseLost(
                     'the stream ended in the middle of an event'
@@ -512,62 +466,18 @@
     async def _read_chunk(
         self,
         conn: connection.HttpConnection,
-        view: targets.DirectTargets,
+        wait: answer_wait.AnswerWait,
         event_s: float,
     ) -> bytes:
         """Return the next bytes; raise ResponseLost if the stream is idle.
 
-        Only a stream that can resume has an idle time-out. It ends with an
-        event and not with any byte, as callers wait for events. A target that
-        nothing can replace is waited for.
-
         :param event_s: when the last event was relayed.
         """
         if not self._can_resume:
             return await conn.read()
         if not self._response_sink.is_started:
-            return await self._read_first(conn, view, event_s)
-        while True:
-            idle_s = caller_timeouts.idle_timeout_s(
-                self.call.route, view.pass_s(self.record)
-            )
-            with contextlib.suppress(TimeoutError):
-                async with self._patience(
-                    event_s + idle_s,
-                    f'the stream had no event for {idle_s:.1f} s',
-                ):
-                    return await conn.read()
-
-    async def _read_first(
-        self,
-        conn: connection.HttpConnection,
-        view: targets.DirectTargets,
-        head_s: float,
-    ) -> bytes:
-        """Return the next bytes before the first event of a stream.
-
-        :param head_s: when the head of the answer arrived.
-        """
-        limit_s = caller_timeouts.event_timeout_s(self.call.route)
-        while True:
-            with contextlib.suppress(TimeoutError):
-                async with self._patience(
-                    head_s + limit_s,
-                    f'no event within {limit_s:.1f} s of the head',
-                ):
-                    return await self._wait_unless_silent(conn.read(), view)
-
-    def _patience(self, until_s: float, message: str) -> asyncio.Timeout:
-        """Return a time-out for the next bytes of a stream.
-
-        :param until_s: monotonic time from which the target is given up if
-            another can take the call.
-        :raises ResponseLost: with *message*, if that is so now.
-        """
-        left_s = until_s - time.monotonic()
-        if left_s <= 0 and self._can_be_replaced():
-            raise connection.ResponseLost(message)
-        return asyncio.timeout(max(left_s, REPORT_CHECK_PERIOD_S))
+            return await wait.first_bytes(event_s)
+        return await wait.next_bytes(event_s)
 
     def _validate_success(self, head: connection.Head) -> None:
         """Raise AttemptFailed if a success has no receipt or is encoded.
--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -208,12 +208,26 @@
 
         :raises ResponseLost: the connection was closed before the head.
         """
+        self.start(req)
+        return await self.head()
+
+    def start(self, req: Request) -> None:
+        """Send a request, whose response can be waited for.
+
+        :raises ResponseLost: the connection is closed, nothing was sent.
+        """
         if not self.is_usable:
             raise ResponseLost('the connection is closed', was_sent=False)
         self._reset_response()
         self._request_id = req.request_id
         self._state = _State.HEAD
         self._transport.write(req.head + req.body if req.body else req.head)
+
+    async def head(self) -> Head:
+        """Return the head of the response; a cancelled wait may be repeated.
+
+        :raises ResponseLost: the connection was closed before the head.
+        """
         while self._head is None:
             await self._wait_for_data()
         return self._head
@@ -221,6 +235,9 @@
     async def read(self) -> bytes:
         """Return the next bytes of the body, empty at its end.
 
+        A cancelled wait may be repeated: bytes are kept until they are
+        returned.
+
         :raises ResponseLost: the body was truncated.
         """
         while not self._body_chunks:
