Judge the lines of a head where it ends

A head with more lines whose answer ends in the same read was not accepted, and its body reset the count, so that the call waited for its deadline.

Change: the bounds are looked at where a head ends, too.

Measured: test_whole_answer_of_too_many_lines_fails with 600 and 3,000 lines; 400 are accepted.

--- a/src/wagtailhollow/internal/http1/connection.py
+++ b/src/wagtailhollow/internal/http1/connection.py
@@ -437,7 +437,10 @@
 
     def on_headers_complete(self) -> None:
         """Accept the head, unless it belongs to another request."""
-        if self._is_over or self._lines_without_body > MAX_HEAD_LINES:
+        if self._is_over:
+            return
+        if excess := self._excess():
+            self._fail_as_unusable(excess)
             return
         status = self._parser.get_status_code()
         if status in INTERIM_STATUSES:
--- a/tests/cover/test_endless_bytes.py
+++ b/tests/cover/test_endless_bytes.py
@@ -207,6 +207,25 @@
     asyncio.run(serve(first, b'', use, pause_s=0.02))
 
 
+@pytest.mark.parametrize('lines', [400, 600, 3_000])
+def test_whole_answer_of_too_many_lines_fails(lines):
+    """Guards against a head that is over the bound and never judged."""
+
+    async def use(address):
+        conn = await connection.HttpConnection.open(address, 5.0)
+        work = conn.send(REQUEST)
+        if lines < connection.MAX_HEAD_LINES:
+            assert len((await work).headers) == lines + 2
+            assert await conn.read_all(100) == b'abc'
+        else:
+            with pytest.raises(connection.ResponseUnusable):
+                await asyncio.wait_for(work, 1.0)
+        conn.close()
+
+    head = OK + b'x:\r\n' * lines + b'content-length: 3\r\n\r\n'
+    asyncio.run(serve(head + b'abc', b'', use, pause_s=0.02))
+
+
 def test_complete_answer_stays_whole_whatever_follows():
     """Guards against a bound that also counts what follows an answer."""
 
