--- a/proof/direct_soak.py
+++ b/proof/direct_soak.py
@@ -3,7 +3,8 @@
 Entries run as processes; a stand-in store, engines and callers run in this
 one, over loopback. Faults come in overlapping series that follow from the
 seed: signals to entries, outages of the store, faulty answers, engines that
-leave, a part of a prompt that crashes engines, new manifests. Callers keep
+leave, a part of a prompt that crashes engines, new manifests, objects of other
+writers. Callers keep
 their connections until the process is gone. What callers and engines see is
 checked against the promises of the platform's rules.
 """
@@ -58,6 +59,7 @@
 than :data:`SETTLE_S` after that many crashes."""
 
 CRASH_PART = 'dead'
+LARGE_VALUE = [[[]]] * 50_000
 _NOT_RUN = frozenset({408, 421, 429, 503})
 _BEHAVIOURS = ('shed', 'fail', 'cut', 'break', 'torn', 'bare', 'busy', 'head')
 _EXECUTING = frozenset({'ok', 'fail', 'cut', 'bare', 'busy'})
@@ -660,6 +662,24 @@
     await soak.restore_store()
 
 
+@_fault
+async def _write_odd_objects(soak: Soak) -> None:
+    """Put a registration at an engine's address, and a large object."""
+    for engine in soak.random_engines():
+        later_ms = engine.registration()['born'] + int(soak.uniform(1, 60_000))
+        odd = {
+            f'odd-{engine.name}': engine.registration(
+                service='unknown', born=later_ms
+            ),
+            'odd-large': LARGE_VALUE,
+        }
+        for name, spec in odd.items():
+            soak.store.put('servers', name, spec)
+            await asyncio.sleep(soak.uniform(0.0, 2.0))
+        for name in odd:
+            soak.store.delete('servers', name)
+
+
 @_fault
 async def _hostile_caller(soak: Soak) -> None:
     """Send trailers without end for a while."""
