--- a/review/11/http_peer.py
+++ b/review/11/http_peer.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import urllib.parse
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
@@ -26,6 +28,11 @@
 
     def reset(self) -> None:
         """Close the connection with a reset."""
+        sock = self.writer.get_extra_info('socket')
+        if sock is not None and sock.fileno() >= 0:
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
         self.writer.transport.abort()
 
     async def send(self, data: bytes) -> None:
--- a/review/11/rank_group.py
+++ b/review/11/rank_group.py
@@ -163,9 +163,7 @@
             and {'version': prepared[0], 'experts': prepared[1]},
         }
 
-    async def _order(
-        self, channel: http_peer.Channel, order: Order
-    ) -> None:
+    async def _order(self, channel: http_peer.Channel, order: Order) -> None:
         delay_s = self._group.delay_of(self, order)
         if delay_s is None:
             status = self.execute(order)
@@ -239,7 +237,6 @@
         if self.held != order['step']:
             return 200
         self.held = None
-        self._group.wake.set()
         return 202
 
     def begin(self, step: int) -> None:
@@ -256,7 +253,8 @@
     :ivar delay_of: called with a rank and an order; returns the seconds after
         which the order is carried out without an answer, None for an order
         that is answered at once.
-    :ivar other_work: requests that each engine has from others all the time.
+    :ivar other_work: requests that each engine has from others all the time;
+        without any request the group makes no passes.
     :ivar mixed: passes that began with different maps.
     """
 
@@ -303,9 +301,7 @@
         if not outcome.startswith('carried'):
             self.orders += 1
             self.unanswered += outcome == 'no answer'
-        shown = {
-            key: value for key, value in order.items() if key != 'map'
-        }
+        shown = {key: value for key, value in order.items() if key != 'map'}
         self.record(f'rank {rank.number} order {shown}: {outcome}')
         self.on_order(rank, order, outcome)
 
@@ -313,7 +309,10 @@
         while True:
             await asyncio.sleep(self.pass_s)
             following = self.step + 1
-            if any(rank.held == following for rank in self.ranks):
+            is_idle = not self.other_work and not any(
+                rank.running for rank in self.ranks
+            )
+            if is_idle or any(rank.held == following for rank in self.ranks):
                 continue
             self.step = following
             self.last_pass_s = time.monotonic()
--- a/review/11/run.py
+++ b/review/11/run.py
@@ -16,16 +16,19 @@
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 FOLDER = pathlib.Path(__file__).resolve().parent
-RANKS = 8
+RANKS = 16
 PASS_S = 0.06
 LATE_S = 2.0
 """How late the orders are carried out that get no answer: 2 to 12 s."""
 
+LATE_FOR_S = 2.3
+"""How long one engine gives no answer to orders."""
+
 LEAST_SWITCHES = 2
 RUN_S = 60.0
-AFTER_S = 8.0
+AFTER_S = 5.5
 RESET_AFTER_S = 0.05
-RESET_S = 0.12
+RESET_S = 0.15
 
 
 class Case:
@@ -36,9 +39,10 @@
         self._start_s = time.monotonic()
         self.group = rank_group.RankGroup(RANKS, PASS_S, self.record)
         self.group.delay_of = self._delay_of
+        self.group.on_order = self._note
+        self.orders: list[tuple[float, bool]] = []
         self.go_s: float | None = None
         self._holder: rank_group.Rank | None = None
-        self._version = 0
 
     def record(self, text: str) -> None:
         """Add a line to the record."""
@@ -53,8 +57,8 @@
     ) -> float | None:
         """Return how late an order is carried out.
 
-        The engine of the rank that holds the group gives no answers from the
-        release of a switch on, until that release is carried out.
+        From the release of a switch on, the engine that holds the group gives
+        no answers to orders for some time.
         """
         if not TROUBLE:
             return None
@@ -74,11 +78,17 @@
         if (
             self.go_s is not None
             and rank is self._holder
-            and now_s < self.go_s + LATE_S
+            and now_s < self.go_s + LATE_FOR_S
         ):
             return LATE_S
         return None
 
+    def _note(
+        self, rank: rank_group.Rank, order: rank_group.Order, outcome: str
+    ) -> None:
+        if not outcome.startswith('carried'):
+            self.orders.append((time.monotonic(), outcome != 'no answer'))
+
     def _reset(self, rank: rank_group.Rank) -> None:
         self.record(f'TROUBLE: channels of rank {rank.number} are reset')
         rank.reset_channels(RESET_S)
@@ -119,12 +129,16 @@
             await asyncio.sleep(0.05)
             if case.go_s and time.monotonic() > case.go_s + AFTER_S:
                 break
-            if (
-                not TROUBLE
-                and len(case.group.switches) >= LEAST_SWITCHES + 3
-            ):
+            if not TROUBLE and len(case.group.switches) >= LEAST_SWITCHES + 3:
                 break
         group = case.group
+        if case.go_s is not None:
+            late = [item for item in case.orders if item[0] >= case.go_s]
+            unanswered = sum(not is_answered for _, is_answered in late)
+            case.record(
+                f'of {len(late)} orders from the trouble on {unanswered} had '
+                'no answer'
+            )
         case.record(
             f'switches {len(group.switches)}, orders {group.orders}, without '
             f'an answer {group.unanswered}, passes with different maps '
