--- a/review/11/small_fleet.py
+++ b/review/11/small_fleet.py
@@ -150,7 +150,7 @@
         else:
             shutil.rmtree(self.folder)
 
-    def entry(self) -> Program:
+    def entry(self, memory_mb: int = 222, max_fds: int = 1535) -> Program:
         """Return an entry, which is not started yet."""
         ip = f'{self.prefix}.5'
         listen = (
@@ -161,7 +161,9 @@
         return self._add(
             'direct_entry',
             ip,
-            self._settings('front', ip, '', listen, 0.559, 222, 1535, 350.0),
+            self._settings(
+                'front', ip, '', listen, 0.559, memory_mb, max_fds, 350.0
+            ),
         )
 
     def agent(self, number: int) -> Program:
