--- a/review/13/run.py
+++ b/review/13/run.py
@@ -1,12 +1,11 @@
-"""Case 13: events and endless bytes in one read, while memory is short."""
+"""Case 13: late holds of an earlier step, while a switch is under way."""
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import os
 import pathlib
-import random
-import re
 import sys
 import time
 
@@ -15,88 +14,53 @@
 sys.path.insert(0, str(FOLDER.parent / '11'))
 
 import http_peer  # noqa: E402
+import rank_group  # noqa: E402
 import small_fleet  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-ENGINES = 48
-FAULTY = 24
-"""Number of engines in trouble: half of them."""
-
-SLOTS = 6
-EVENTS = 24
-GOOD_EVENTS = 3
-"""Events that an engine in trouble sends before the bytes without end."""
-
-EVENT_S = 0.02
-BLOCK = b'x' * 4096
-BLOCK_S = 0.03
-FIRST_STREAMS = 270
-FIRST_S = 0.05
-LATER_STREAMS = 130
-LATER_FROM_S = 0.6
-LATER_UNTIL_S = 1.2
-"""Consumers of a burst: many at once, and the others a little later."""
-
-MAX_BURSTS = 18
-PAUSE_S = 1.0
-RUN_S = 95.0
-DEADLINE_MS = 8000
-_ID = re.compile(rb'^id: (\d+)$', re.MULTILINE)
+RANKS = 8
+PASS_S = 0.09
+"""Time of a pass of sound engines under uneven demand."""
 
+SLOW = 12.0
+"""How many times longer the work of slow engines takes."""
 
-def _event(number: int) -> bytes:
-    return b'id: %d\ndata: token %d\n\n' % (number, number)
+SLOW_S = 9.0
+WARM_UP_S = 5.0
+LATE_S = 2.0
+"""How late an order is carried out that gets no answer: 2 to 12 s."""
 
+LATE_FOR_S = 0.4
+"""How long one engine gives no answer to orders, and until the next pass."""
 
-def _chunk(data: bytes) -> bytes:
-    return b'%x\r\n%s\r\n' % (len(data), data)
+LAST_START_S = 0.8
+"""Longest time from the begin of a pass to the first of these orders."""
 
+AFTER_S = 50.0
+CALL_PERIOD_S = 0.25
+DEADLINE_MS = 8000
 
-class Engine:
-    """An engine that answers streams.
 
-    In trouble it sends the first events of a stream, and then bytes that are
-    no event, without end, until the caller closes.
-    """
+class PlainServer:
+    """A server of the plain service, always sound."""
 
-    def __init__(self, case: Case, number: int) -> None:
-        self._case = case
-        self.name = f'i-engine-{number}'
-        self.is_faulty = TROUBLE and number < FAULTY
+    def __init__(self, name: str) -> None:
+        self.name = name
         self.server = http_peer.HttpServer(self._handle)
 
     async def _handle(
         self, channel: http_peer.Channel, req: http_peer.Request
     ) -> None:
-        request_id = req.headers['x-request-id']
-        first = int(req.headers.get('last-event-id', 0)) + 1
-        self._case.record(
-            f'{self.name} runs {request_id} from event {first}'
-            + (' (in trouble)' if self.is_faulty else '')
-        )
-        await channel.send(
-            b'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
-            b'Transfer-Encoding: chunked\r\nX-Request-Id: '
-            + request_id.encode()
-            + b'\r\nX-Engine-Signature: '
-            + self.name.encode()
-            + b'\r\n\r\n'
+        request_id = req.headers.get('x-request-id', '')
+        await asyncio.sleep(0.02)
+        await channel.answer(
+            200,
+            f'read {request_id}'.encode(),
+            {
+                'X-Request-Id': request_id,
+                'X-Engine-Signature': f'{self.name}.{request_id}',
+            },
         )
-        if self.is_faulty:
-            await channel.send(
-                _chunk(
-                    b''.join(map(_event, range(first, first + GOOD_EVENTS)))
-                    + 4 * BLOCK
-                )
-            )
-        last = first if self.is_faulty else EVENTS + 1
-        for number in range(first, last):
-            await channel.send(_chunk(_event(number)))
-            await asyncio.sleep(EVENT_S)
-        while self.is_faulty:
-            await channel.send(_chunk(BLOCK))
-            await asyncio.sleep(BLOCK_S)
-        await channel.send(b'0\r\n\r\n')
 
 
 class Case:
@@ -105,10 +69,20 @@
     def __init__(self) -> None:
         self._lines: list[str] = []
         self._start_s = time.monotonic()
-        self.engines = [Engine(self, number) for number in range(ENGINES)]
-        self.broken: list[str] = []
-        self.statuses: dict[int, int] = {}
-        self.whole = 0
+        self.group = rank_group.RankGroup(RANKS, PASS_S, self.record)
+        self.group.delay_of = self._delay_of
+        self.group.other_work = 0
+        self.plain = PlainServer('i-records-0')
+        self.is_slow = False
+        self.is_counting = True
+        self._late_from_s: float | None = None
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.served: collections.Counter[str] = collections.Counter()
+        self.statuses: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self._numbers = iter(range(1, 1 << 30))
+        self.tasks: set[asyncio.Task[None]] = set()
 
     def record(self, text: str) -> None:
         """Add a line to the record."""
@@ -118,58 +92,79 @@
         """Write the record."""
         (FOLDER / 'record.txt').write_text('\n'.join(self._lines) + '\n')
 
-    async def stream(self, ip: str, request_id: str, delay_s: float) -> None:
-        """Read one stream and check the ids of its events."""
-        await asyncio.sleep(delay_s)
-        status, body, is_whole = await read_stream(ip, request_id)
-        self.statuses[status] = self.statuses.get(status, 0) + 1
-        self.whole += is_whole
-        if status != 200:
+    def _delay_of(
+        self, rank: rank_group.Rank, order: rank_group.Order
+    ) -> float | None:
+        """Return how late an order is carried out, None if at once.
+
+        From the first order to hold a step on, the engine of that rank gives
+        no answers for a moment.
+        """
+        now_s = time.monotonic()
+        if not TROUBLE or not self.is_slow:
+            return None
+        if self._late_from_s is None:
+            if (
+                order['op'] != 'hold'
+                or now_s > self.group.last_pass_s + LAST_START_S
+            ):
+                return None
+            self._late_from_s = now_s
+            self._late_rank = rank
+            self._late_step = self.group.step
+            self.record(f'TROUBLE: rank {rank.number} gives no answers')
+        if rank is self._late_rank and now_s < self._late_from_s + LATE_FOR_S:
+            return LATE_S
+        return None
+
+    async def trouble(self) -> None:
+        """Make the engines slow for some seconds."""
+        if not TROUBLE:
+            await asyncio.sleep(SLOW_S)
             return
-        ids = [int(item) for item in _ID.findall(body)]
-        expected = list(range(1, len(ids) + 1))
-        if ids != expected or (is_whole and len(ids) < EVENTS):
-            self.broken.append(request_id)
-            self.record(
-                f'the consumer of {request_id} got the events {ids}, '
-                f'{"complete" if is_whole else "broken off"}'
-            )
+        self.record(f'TROUBLE: engines are {SLOW} times slower')
+        self.group.pass_s = PASS_S * SLOW
+        self.is_slow = True
+        await asyncio.sleep(SLOW_S)
+        self.is_slow = False
+        self.group.pass_s = PASS_S
+        self.record('the trouble is over: all engines and orders are sound')
 
+    async def calls(self, ip: str) -> None:
+        """Send streams and reads for ever."""
+        while True:
+            for route in ('note', 'read'):
+                self._start_call(ip, route)
+            await asyncio.sleep(CALL_PERIOD_S)
 
-async def read_stream(ip: str, request_id: str) -> tuple[int, bytes, bool]:
-    """Return status, body so far, and whether it ended as complete."""
-    body = b''
-    status = 0
-    writer = None
-    try:
-        async with asyncio.timeout(DEADLINE_MS / 1000):
-            reader, writer = await asyncio.open_connection(
-                ip, small_fleet.FRONT_PORT
-            )
-            writer.write(
-                (
-                    f'POST /note/1 HTTP/1.1\r\nHost: {small_fleet.HOST}\r\n'
-                    f'X-Request-Id: {request_id}\r\n'
-                    f'X-Deadline-Ms: {DEADLINE_MS}\r\n'
-                    f'X-Key: {small_fleet.KEY}\r\nX-Model: m\r\n'
-                    'X-Token-Usage: 835,96\r\n'
-                    f'X-Prompt-Prefix: {request_id}:835\r\n'
-                    'Content-Length: 2\r\n\r\n{}'
-                ).encode()
+    def _start_call(self, ip: str, route: str) -> None:
+        self.tasks.add(asyncio.create_task(self._call(ip, route)))
+
+    async def _call(self, ip: str, route: str) -> None:
+        request_id = f'{next(self._numbers):016x}'
+        is_counted = self.is_counting
+        status, _, body = await small_fleet.answer_of(
+            ip,
+            small_fleet.FRONT_PORT,
+            'POST' if route == 'note' else 'GET',
+            f'/{route}/1',
+            {
+                'X-Request-Id': request_id,
+                'X-Deadline-Ms': str(DEADLINE_MS),
+                'X-Key': small_fleet.KEY,
+                'X-Model': 'm',
+                'X-Token-Usage': '835,96',
+                'X-Prompt-Prefix': f'{request_id}:835',
+            },
+            b'{"n": 1}' if route == 'note' else b'',
+            DEADLINE_MS / 1000,
+        )
+        if is_counted:
+            self.sent[route] += 1
+            self.served[route] += status == 200 and (
+                route != 'note' or body.endswith(b'token 24\n\n')
             )
-            head = await reader.readuntil(b'\r\n\r\n')
-            status = int(head.split(b' ')[1])
-            if b'chunked' not in head.lower():
-                return status, b'', True
-            while size := int(await reader.readuntil(b'\r\n'), 16):
-                body += await reader.readexactly(size)
-                await reader.readexactly(2)
-            return status, body, True
-    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
-        return status, body, False
-    finally:
-        if writer is not None:
-            writer.transport.abort()
+            self.statuses[route, status] += 1
 
 
 async def run() -> int:
@@ -177,8 +172,8 @@
     case = Case()
     fleet = small_fleet.Fleet()
     store = http_peer.Store()
-    entry = fleet.entry(memory_mb=152, max_fds=1570)
-    rng = random.Random(1)
+    entry = fleet.entry()
+    group = case.group
     try:
         await store.server.start(fleet.store_ip, http_peer.STORE_PORT)
         store.put(
@@ -188,56 +183,78 @@
                 [
                     small_fleet.route(
                         'note', 'streaming', small_fleet.ENGINE_SERVICE
-                    )
+                    ),
+                    small_fleet.route(
+                        'read', 'safe', small_fleet.PLAIN_SERVICE
+                    ),
                 ],
-                None,
+                rank_group.ENGINE,
             ),
         )
-        for number, engine in enumerate(case.engines):
-            ip = fleet.plain_ip(number)
-            await engine.server.start(ip, small_fleet.APP_PORT)
+        await group.start(fleet)
+        for rank in group.ranks:
+            address = f'{fleet.side_ip(rank.number)}:{small_fleet.APP_PORT}'
             store.put(
                 'servers',
-                engine.name,
+                rank.name,
                 small_fleet.registration(
-                    small_fleet.ENGINE_SERVICE,
-                    f'{ip}:{small_fleet.APP_PORT}',
-                    SLOTS,
+                    small_fleet.ENGINE_SERVICE, address, 6
                 ),
             )
+        await case.plain.server.start(fleet.plain_ip(0), small_fleet.APP_PORT)
+        store.put(
+            'servers',
+            case.plain.name,
+            small_fleet.registration(
+                small_fleet.PLAIN_SERVICE,
+                f'{fleet.plain_ip(0)}:{small_fleet.APP_PORT}',
+                6,
+            ),
+        )
         entry.start()
+        for rank in group.ranks:
+            fleet.agent(rank.number).start()
         if not await small_fleet.wait_until_ready(entry):
             case.record('could not run: the entry is not ready')
             return 2
-        end_s = time.monotonic() + RUN_S
-        for number in range(MAX_BURSTS):
-            if case.broken or time.monotonic() > end_s:
-                break
-            delays_s = [
-                rng.uniform(0, FIRST_S) for _ in range(FIRST_STREAMS)
-            ] + [
-                rng.uniform(LATER_FROM_S, LATER_UNTIL_S)
-                for _ in range(LATER_STREAMS)
-            ]
-            case.record(f'{len(delays_s)} consumers come')
-            await asyncio.gather(
-                *(
-                    case.stream(entry.ip, f'{number:08x}{item:08x}', delay_s)
-                    for item, delay_s in enumerate(delays_s)
-                )
-            )
-            await asyncio.sleep(PAUSE_S)
+        case.tasks.add(asyncio.create_task(case.calls(entry.ip)))
+        await asyncio.sleep(WARM_UP_S)
+        await case.trouble()
+        await asyncio.sleep(AFTER_S)
+        case.is_counting = False
+        await asyncio.sleep(DEADLINE_MS / 1000 + 0.5)
+        silent_s = time.monotonic() - group.last_pass_s
+        held = {r.number: r.held for r in group.ranks if r.held is not None}
+        armed = {r.number: r.armed for r in group.ranks if r.armed}
         case.record(
-            f'statuses {case.statuses}, whole {case.whole}, with missing '
-            f'events {len(case.broken)}'
+            f'last pass {group.step}, {silent_s:.1f} s ago; held {held}, '
+            f'armed {armed}'
         )
-        if not case.whole:
+        case.record(
+            f'orders {group.orders}, without an answer {group.unanswered}, '
+            f'switches {len(group.switches)}, mixed {group.mixed}'
+        )
+        case.record(
+            f'sent {dict(case.sent)}, served {dict(case.served)}, statuses '
+            f'{dict(case.statuses)}'
+        )
+        if not case.sent['note'] or not case.served['read']:
+            return 2
+        if TROUBLE and not group.unanswered:
+            case.record('could not run: no order to hold came in time')
             return 2
-        return 1 if case.broken else 0
+        shares = {
+            route: case.served[route] / case.sent[route] for route in case.sent
+        }
+        mean = case.served.total() / case.sent.total()
+        case.record(f'served shares {shares}, of all {mean:.3f}')
+        return 1 if min(shares.values()) < mean / 4 else 0
     finally:
+        for task in case.tasks:
+            task.cancel()
+        group.stop()
         store.server.stop()
-        for engine in case.engines:
-            engine.server.stop()
+        case.plain.server.stop()
         fleet.close()
         case.write()
 
