--- a/review/13/run.py
+++ b/review/13/run.py
@@ -1,4 +1,4 @@
-"""Case 13: late holds of an earlier step, while a switch is under way."""
+"""Case 13: a late hold at the rank of a former coordinator."""
 
 from __future__ import annotations
 
@@ -30,8 +30,9 @@
 LATE_S = 2.0
 """How late an order is carried out that gets no answer: 2 to 12 s."""
 
-LATE_FOR_S = 0.4
-"""How long one engine gives no answer to orders, and until the next pass."""
+KILL_AFTER_S = 0.1
+DARK_S = 3.5
+"""When the agent is killed, and how long it is away."""
 
 LAST_START_S = 0.8
 """Longest time from the begin of a pass to the first of these orders."""
@@ -75,7 +76,9 @@
         self.plain = PlainServer('i-records-0')
         self.is_slow = False
         self.is_counting = True
-        self._late_from_s: float | None = None
+        self._late_order: rank_group.Order | None = None
+        self.is_killed = False
+        self.agents: list[small_fleet.Program] = []
         self.sent: collections.Counter[str] = collections.Counter()
         self.served: collections.Counter[str] = collections.Counter()
         self.statuses: collections.Counter[tuple[str, int]] = (
@@ -97,26 +100,33 @@
     ) -> float | None:
         """Return how late an order is carried out, None if at once.
 
-        From the first order to hold a step on, the engine of that rank gives
-        no answers for a moment.
+        One order gets no answer: the first to hold a step. The agent that
+        gave it is killed when it has given the order again.
         """
         now_s = time.monotonic()
-        if not TROUBLE or not self.is_slow:
+        if not TROUBLE or not self.is_slow or order['op'] != 'hold':
             return None
-        if self._late_from_s is None:
-            if (
-                order['op'] != 'hold'
-                or now_s > self.group.last_pass_s + LAST_START_S
-            ):
+        if self._late_order is None:
+            if now_s > self.group.last_pass_s + LAST_START_S:
                 return None
-            self._late_from_s = now_s
-            self._late_rank = rank
-            self._late_step = self.group.step
-            self.record(f'TROUBLE: rank {rank.number} gives no answers')
-        if rank is self._late_rank and now_s < self._late_from_s + LATE_FOR_S:
+            self._late_order = order
             return LATE_S
+        if order == self._late_order and not self.is_killed:
+            self.is_killed = True
+            asyncio.get_running_loop().call_later(
+                KILL_AFTER_S, self._kill, rank.number
+            )
         return None
 
+    def _kill(self, number: int) -> None:
+        self.record(f'TROUBLE: the agent of rank {number} is killed')
+        self.agents[number].end()
+        asyncio.get_running_loop().call_later(DARK_S, self._start, number)
+
+    def _start(self, number: int) -> None:
+        self.record(f'the agent of rank {number} is started again')
+        self.agents[number].start()
+
     async def trouble(self) -> None:
         """Make the engines slow for some seconds."""
         if not TROUBLE:
@@ -212,8 +222,9 @@
             ),
         )
         entry.start()
-        for rank in group.ranks:
-            fleet.agent(rank.number).start()
+        case.agents = [fleet.agent(rank.number) for rank in group.ranks]
+        for agent in case.agents:
+            agent.start()
         if not await small_fleet.wait_until_ready(entry):
             case.record('could not run: the entry is not ready')
             return 2
