Review: case 11 with a shorter reset

With 0.15 s another rank took over in one run and kept the rule; 0.06 s is enough for the coordinator to miss a report.

--- a/review/11/run.py
+++ b/review/11/run.py
@@ -28,7 +28,7 @@
 RUN_S = 60.0
 AFTER_S = 5.5
 RESET_AFTER_S = 0.05
-RESET_S = 0.15
+RESET_S = 0.06
 
 
 class Case:
