Send one status to the coordinator, not two, in the same moment

Cause: an agent whose presence message is due sends it to the standby ranks and to the coordinator, and right behind it the status that the coordinator waits for. When a map takes effect all ranks do so at once; with 96 ranks at 3 Mbit/s the coordinator's link queues more than 0.1 s and drops statuses.

Change: the presence message leaves the coordinator out if it gets a status in the same call.

--- a/src/wagtailhollow/internal/experts/live/messenger.py
+++ b/src/wagtailhollow/internal/experts/live/messenger.py
@@ -374,11 +374,30 @@
         coordinator_ip = self._view.coordinator_ip(status)
         brief = copy.copy(status)
         brief.experts = b''
+        informed = set()
+        if coordinator_ip and coordinator_ip != self._ip:
+            message = self._status_for_coordinator(
+                status, brief, coordinator_ip, now_s
+            )
+            if message is not None:
+                informed.add(coordinator_ip)
+                self._transmit(message, informed)
         if now_s - self._presence_sent_s >= PRESENCE_PERIOD_S:
             self._presence_sent_s = now_s
-            self._transmit(brief, self._presence_ips())
-        if not coordinator_ip or coordinator_ip == self._ip:
-            return
+            # All ranks may report to the coordinator in the same moment.
+            self._transmit(brief, self._presence_ips() - informed)
+
+    def _status_for_coordinator(
+        self,
+        status: messages.RankStatus,
+        brief: messages.RankStatus,
+        coordinator_ip: str,
+        now_s: float,
+    ) -> messages.RankStatus | None:
+        """Return the status that the coordinator has to get now, or None.
+
+        :param brief: the status without its experts.
+        """
         detail_key = (
             status.epoch,
             status.map_version,
@@ -398,10 +417,10 @@
             sent_key == self._sent_key
             and now_s - self._sent_s < self._status_period_s(status.size)
         ):
-            return
+            return None
         self._sent_key, self._sent_s = sent_key, now_s
         self._is_status_wanted = False
-        self._transmit(status if has_details else brief, (coordinator_ip,))
+        return status if has_details else brief
 
     def send_demand(self) -> None:
         """Send the demand of this rank, or of its part, when it is due."""
