Give the holds of a map switch rules that late orders cannot break

Cause, one for all three: a hold and its release are told apart by their step only, while late orders to arm, disarm or prepare are told apart by versions that are never used twice. A step was used by several switches, and no intent said which holds are wanted. So - a release of the switch, executed late, ended the hold under which the same agent undid that switch after it had lost and regained the coordination; - a hold of a step that was given up, executed late, belonged to nobody: the wait for a released switch looked at versions only, and _hold() took the hold of an earlier step for its own.

Change (experts/live/holds.py): - a switch uses a step above those of all orders that may still be executed; a new coordinator keeps 16 steps clear, as it remembers none; - ranks release holds of steps below that of the intent's switch, or up to that of the last one; intents without a switch name it as well; - a new coordinator undoes a switch under holds at two ranks: the switch releases its step at one rank only; - it also invalidates a version that is prepared but not armed, as otherwise a coordinator that resumes could arm it while its hold is released as obsolete; - a hold of another step counts for nothing. Held steps of a switch that another agent has begun to undo are left alone. The lookahead moves into a module of its own, without a change.

proof/live_switch.py: coordinator 2 may take over at either rank, holds and releases of two steps are late or never answered, and a second property says that passes begin once orders are answered. The former protocol (FORMER) fails both; the present one holds in all states; without any one rule it fails. Without terms it now fails as well: a takeover at the first coordinator's rank relies on them, so that this variant moves to those that have to be refuted.

--- a/proof/verdicts.py
+++ b/proof/verdicts.py
@@ -28,11 +28,14 @@
     transitions: Callable[[State], Iterable[tuple[str, State]]],
     invariant: str,
     holds: Callable[[State], bool],
+    is_goal: Callable[[State], bool] | None = None,
 ) -> minicheck.Protocol:
     """Return a specification whose state is a single frozen object.
 
     :param transitions: returns the possible next states with their labels.
     :param invariant: name of the invariant that *holds* evaluates.
+    :param is_goal: whether a state is one that has to stay reachable, see
+        :func:`check_progress`.
     """
     return minicheck.Protocol(
         name=name,
@@ -45,6 +48,7 @@
             if after != state[0]
         ],
         invariants={invariant: lambda state: holds(state['state'])},
+        goal=is_goal and (lambda state: is_goal(state['state'])),
     )
 
 
@@ -63,6 +67,20 @@
     }
 
 
+def check_progress(protocol: minicheck.Protocol) -> dict[str, Any]:
+    """Return the verdict on whether all states can reach a goal state.
+
+    The exploration is exhaustive, or the verdict is None.
+    """
+    result = minicheck.check_liveness(protocol)
+    return {
+        'holds': result['holds'],
+        'exhaustive': result['holds'] is not None,
+        'states': result['reachable_states'],
+        'counterexample': result.get('counterexample'),
+    }
+
+
 def report(
     check_variant: Callable[[Any], dict[str, Any]],
     checked: Sequence[Any],
--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -9,15 +9,17 @@
 ends any switch that its predecessor left unfinished, and only then plans. To
 end a switch it
 
-1. holds the step at the coordinator's own rank, because a release sent by the
-   predecessor may still be in flight to the rank that holds it;
+1. holds the step at two ranks, because a release sent by the predecessor may
+   still be in flight to one of them, also if that was this same agent;
 2. disarms all ranks and has them prepare a new version, after which engines
    refuse a delayed order to arm the old one;
 3. releases every hold.
 
 It does not complete such a switch even if all ranks are armed, because an
-order to disarm may still be in flight. ``proof/live_switch.py`` checks the
-protocol against delayed orders and a coordinator that resumes after a pause.
+order to disarm may still be in flight. If it finds no switch, but a version
+that is prepared, it takes the second step only. ``holds.py`` says which steps
+it holds; ``proof/live_switch.py`` checks the protocol against delayed orders
+and a coordinator that resumes after a pause.
 
 If no status arrives from a rank's agent, the coordinator sends its orders
 directly to the engine of that rank.
@@ -28,7 +30,6 @@
 import asyncio
 import copy
 import dataclasses
-import math
 import random
 import time
 from collections.abc import (
@@ -43,7 +44,16 @@
 from ...datagram import messages
 from ...observability import decisions
 from .. import observation, placement, planner
-from . import demand, group_view, model, packing, pass_time, rank
+from . import (
+    demand,
+    group_view,
+    holds,
+    lookahead,
+    model,
+    packing,
+    pass_time,
+    rank,
+)
 from . import statuses as rank_statuses
 
 POLL_PERIOD_S = 0.1
@@ -52,27 +62,6 @@
 that the work does not grow with the square of the group when all ranks answer
 at once."""
 
-MIN_LOOKAHEAD_STEPS = 3
-"""The held step is at least this far ahead of the last step that the own rank
-reports to have begun: with 3, two steps lie between them. All ranks have to be
-armed before the held step begins. That takes a message each way and an order:
-20 ms, or 60 ms if the order is repeated, which is about one step. The other
-two allow for steps that are already under way."""
-
-MAX_LOOKAHEAD_STEPS = 16
-"""Upper bound of this distance when orders have to be repeated often: 0.8 s at
-the default pass time. The held step is set this far ahead because a group that
-waits at it for the orders delays all its streams."""
-
-ARMING_TIME_FACTOR = 1.25
-"""Time allowed for arming all ranks, as a multiple of the slowest of the last
-switches."""
-
-ARMING_TIME_DECAY = 0.7
-"""Factor by which the recorded arming time decays with each switch."""
-
-DEFAULT_PASS_S = 0.05
-
 REBALANCE_PASS_SHARE = 0.46
 """Mean pass time from which rebalancing is considered whatever the skew, as a
 share of the pause that callers allow between two events of a stream. A shift
@@ -210,7 +199,8 @@
         self._activations = 0
         self._started_s = 0.0
         self._pass_times = pass_time.PassTimeEstimator()
-        self._arming_s = 0.0
+        self._arming_times = lookahead.ArmingTimes()
+        self._steps = holds.HeldSteps()
 
     async def run(self) -> None:
         """Coordinate the group whenever it is this rank's turn; for ever."""
@@ -260,19 +250,23 @@
             rank_statuses.obeys_term, RESOLVE_TIMEOUT_S
         ):
             pass
+        self._steps = holds.HeldSteps(self._statuses().values())
         while True:
             statuses = self._statuses()
-            if len(statuses) == own.size and any(
-                map(rank_statuses.is_unsettled, statuses.values())
-            ):
-                await self._resolve()
-            elif len(statuses) == own.size:
-                await self._rebalance(statuses)
+            if len(statuses) == own.size:
+                if self._steps.is_unresolved(statuses.values()):
+                    await self._resolve(statuses)
+                    self._stand_by()
+                elif self._steps.has_free_step(self._own_status().step):
+                    await self._rebalance(statuses)
             # Repeats the intent for one period; no status ends the wait.
             await self._wait_for_ranks(
                 lambda _: False,
                 POLL_PERIOD_S,
-                lags=lambda status: not rank_statuses.has_experts(status),
+                lags=lambda status: (
+                    not rank_statuses.has_experts(status)
+                    or self._steps.has_only_obsolete_hold(status)
+                ),
             )
 
     async def _wait_for_ranks(
@@ -461,21 +455,28 @@
         self._moves_only = None
         self._controller.accept(intent)
 
+    def _stand_by(self) -> None:
+        """Ask the ranks for nothing but to release obsolete holds."""
+        self._set_intent(model.Phase.IDLE, step=self._steps.obsolete_step)
+
     def _set_map_intent(
         self,
         phase: model.Phase,
         version: int,
         ranks: packing.PackedMap,
         statuses: Mapping[int, Status],
+        step: int,
     ) -> None:
         """Set an intent with a map, in full and as moves.
 
         :param statuses: statuses of all ranks, whose experts are in effect.
+        :param step: see :func:`holds.is_obsolete`.
         """
         checksum = packing.checksum(ranks)
         self._set_intent(
             phase,
             version=version,
+            step=step,
             full_map=packing.pack_map(ranks),
             checksum=checksum,
         )
@@ -516,48 +517,55 @@
         )
         return self._highest_version
 
-    async def _resolve(self) -> None:
-        """End a switch that a previous coordinator left unfinished."""
-        statuses = self._statuses()
-        armed = {
-            (s.rank, s.armed_step)
-            for s in statuses.values()
-            if s.armed_version != messages.UNSET
-        }
-        held = {
-            (s.rank, s.held_step)
-            for s in statuses.values()
-            if s.held_step != messages.UNSET
-        }
-        begun = max(s.step for s in statuses.values())
-        steps = {step for _, step in armed | held if step > begun}
+    async def _resolve(self, statuses: Mapping[int, Status]) -> None:
+        """End a switch that a previous coordinator left unfinished.
+
+        :param statuses: statuses of all ranks.
+        """
+        rows = statuses.values()
+        begun = max(s.step for s in rows)
+        step = holds.step_to_undo(rows, begun)
         decisions.log(
             'switch_resolved',
             group=self._intent.group,
             term=self._intent.term,
-            armed=sorted(armed),
-            held=sorted(held),
+            armed=sorted(
+                (s.rank, s.armed_step)
+                for s in rows
+                if s.armed_version != messages.UNSET
+            ),
+            held=sorted(
+                (s.rank, s.held_step)
+                for s in rows
+                if s.held_step != messages.UNSET
+            ),
             begun=begun,
+            step=step,
         )
-        if steps:
-            await self._abort(min(steps))
-        else:
+        if step is not None:
+            # The step may begin before it is held, and is then over.
+            if await self._hold_at_two_ranks(step):
+                await self._abort(step)
+        elif any(map(rank_statuses.is_unsettled, rows)):
             # The step has begun already: some of the reports are from before
             # the switch and others from after it.
             await self._wait_for_ranks(
                 rank_statuses.is_settled, RESOLVE_TIMEOUT_S
             )
+        elif any(map(rank_statuses.may_be_armed, rows)):
+            await self._abort()
+        else:
+            self._steps.settle()
 
-    async def _abort(self, step: int) -> None:
+    async def _abort(self, step: int = messages.UNSET) -> None:
         """Disarm all ranks, invalidate delayed orders and release the group.
 
         Ranks are disarmed one by one, so the step must not begin before the
-        last one is disarmed. A hold at another rank does not ensure that, as a
-        release of it may be in flight; only a hold at this coordinator's own
-        rank does.
+        last one is disarmed. The caller has it held where no release may be in
+        flight.
+
+        :param step: step at which ranks may be armed; unset if none is.
         """
-        if not await self._hold(step):
-            return
         while True:
             statuses = self._statuses()
             if len(statuses) < self._own_status().size:
@@ -575,7 +583,9 @@
                 continue
             version = self._next_version(statuses)
             current = tuple(statuses[n].experts for n in sorted(statuses))
-            self._set_map_intent(model.Phase.ABORT, version, current, statuses)
+            self._set_map_intent(
+                model.Phase.ABORT, version, current, statuses, step
+            )
             if await self._wait_for_ranks(
                 lambda s, v=version: (
                     s.prepared == v and s.armed_version == messages.UNSET
@@ -584,48 +594,50 @@
                 lambda s, v=version: s.refused_version == v,
             ):
                 break
-        for held in {
+        while held := {
             s.held_step
             for s in self._statuses().values()
             if s.held_step != messages.UNSET
         }:
-            await self._release(held)
+            last = max(held)
+            self._set_intent(model.Phase.RELEASE, step=last)
+            if not await self._wait_for_ranks(
+                lambda s, last=last: not messages.UNSET < s.held_step <= last,
+                RESOLVE_TIMEOUT_S,
+            ):
+                decisions.log('release_unconfirmed', step=last)
+        self._steps.settle()
 
-    async def _hold(self, step: int) -> bool:
-        """Hold a step at this coordinator's own rank.
+    async def _hold_at_two_ranks(self, step: int) -> bool:
+        """Hold a step although a release of it may be in flight to a rank.
 
-        :return: whether the hold is in place; True also if that rank already
-            holds an earlier step.
+        :return: whether the holds are in place.
         """
-        own_rank = self._own_status().rank
-        held = self._own_status().held_step
-        if held > step:
-            # Left by a delayed order; a rank can hold only one step.
-            await self._release(held)
-        elif held != messages.UNSET:
+        own = self._own_status()
+        if not await self._hold(step, own.rank):
+            return False
+        if own.size == 1:
             return True
-        self._set_intent(model.Phase.HOLD, step=step, holder=own_rank)
+        second = holds.choose_second_holder(
+            self._statuses(),
+            self._view.recent_statuses(own).keys(),
+            own.rank,
+            step,
+            self._rng,
+        )
+        return second is not None and await self._hold(step, second)
+
+    async def _hold(self, step: int, holder: int) -> bool:
+        """Hold a step at one rank; return whether the hold is in place."""
+        self._set_intent(model.Phase.HOLD, step=step, holder=holder)
         await self._wait_for_ranks(
             lambda s: (
-                s.rank != own_rank or s.held_step == step or s.step >= step
+                s.rank != holder or s.held_step == step or s.step >= step
             ),
             HOLD_TIMEOUT_S,
         )
-        return self._own_status().held_step == step
-
-    async def _release(self, step: int, holder: int = messages.UNSET) -> None:
-        """Release a held step.
-
-        :param holder: the only rank whose hold is released; by default, all
-            are, which is safe only while no rank is armed.
-        """
-        self._set_intent(model.Phase.RELEASE, step=step, holder=holder)
-        while not await self._wait_for_ranks(
-            lambda s: s.held_step != step, RESOLVE_TIMEOUT_S
-        ):
-            decisions.log('release_unconfirmed', step=step)
-            # A delayed order may hold the step at another rank.
-            self._set_intent(model.Phase.RELEASE, step=step)
+        status = self._statuses().get(holder)
+        return status is not None and status.held_step == step
 
     async def _rebalance(self, statuses: Mapping[int, Status]) -> None:
         """Plan a new map and switch to it if the plan has any moves."""
@@ -642,7 +654,13 @@
         )
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        self._set_map_intent(model.Phase.PREPARE, version, ranks, statuses)
+        self._set_map_intent(
+            model.Phase.PREPARE,
+            version,
+            ranks,
+            statuses,
+            self._steps.obsolete_step,
+        )
         is_prepared = await self._wait_for_ranks(
             lambda s: s.prepared == version,
             PREPARE_TIMEOUT_S,
@@ -652,7 +670,7 @@
         prepared_s = loop.time()
         if is_prepared:
             await self._switch(version)
-        self._set_intent(model.Phase.IDLE)
+        self._stand_by()
         decisions.log(
             'switch',
             group=self._intent.group,
@@ -690,10 +708,14 @@
 
     async def _switch(self, version: int) -> None:
         loop = asyncio.get_running_loop()
-        step = self._own_status().step + self._lookahead_steps(loop.time())
-        if not await self._hold(step):
-            # The order may still be executed, so the step is released.
-            await self._release(step)
+        own = self._own_status()
+        pass_s = self._pass_times.pass_s(loop.time())
+        step = self._steps.use_step(
+            own.step, self._arming_times.lookahead_steps(pass_s)
+        )
+        if not await self._hold(step, own.rank):
+            # The order may still be executed; ranks then release the step.
+            self._steps.settle()
             return
         started_s = loop.time()
         self._set_intent(model.Phase.ARM, version=version, step=step)
@@ -703,27 +725,27 @@
         )
         # If the process was suspended, more than the time-out has elapsed.
         took_s = min(loop.time() - started_s, ARM_TIMEOUT_S)
-        self._arming_s = max(took_s, self._arming_s * ARMING_TIME_DECAY)
-        if is_armed:
-            await self._release(step, self._own_status().rank)
-            # An idle group begins no step, so this may take any time.
-            while not await self._wait_for_ranks(
-                lambda s: s.map_version == version,
-                RESOLVE_TIMEOUT_S,
-                lags=lambda _: False,
-            ):
-                if not all(
-                    version in (s.map_version, s.armed_version)
-                    for s in self._statuses().values()
-                ):
-                    return
-        else:
+        self._arming_times.add(took_s)
+        if not is_armed:
+            # No release has been sent, so that the hold is safe.
             await self._abort(step)
-
-    def _lookahead_steps(self, now_s: float) -> int:
-        pass_s = self._pass_times.pass_s(now_s) or DEFAULT_PASS_S
-        needed = math.ceil(self._arming_s * ARMING_TIME_FACTOR / pass_s) + 1
-        return min(max(MIN_LOOKAHEAD_STEPS, needed), MAX_LOOKAHEAD_STEPS)
+            return
+        self._set_intent(model.Phase.RELEASE, step=step, holder=own.rank)
+        # An idle group begins no step, so this may take any time.
+        while not await self._wait_for_ranks(
+            lambda s: s.map_version == version,
+            RESOLVE_TIMEOUT_S,
+            lags=lambda s: messages.UNSET < s.held_step < step,
+        ):
+            if any(
+                version not in (s.map_version, s.armed_version)
+                or (s.held_step == step and s.rank != own.rank)
+                for s in self._statuses().values()
+            ):
+                # Another coordinator has begun to undo the switch.
+                self._steps.reopen()
+                return
+        self._steps.settle()
 
     def _is_fast_enough(self, now_s: float, limits: Limits) -> bool:
         """Return whether callers would not notice a better map.
--- a/src/wagtailhollow/internal/experts/live/rank.py
+++ b/src/wagtailhollow/internal/experts/live/rank.py
@@ -10,10 +10,9 @@
 * a version that was disarmed is never armed again, so that a delayed
   ``disarm`` has no effect, and once the next version is prepared, a delayed
   ``arm`` of the old one is refused;
-* a version that is newer than that of the intent is not disarmed, and a switch
-  releases only the hold at its coordinator's rank;
+* a version that is newer than that of the intent is not disarmed;
 * a delayed ``hold`` of a step that has begun is refused, and one of a later
-  step shows in the report and is released.
+  step shows in the report and is released, see ``holds.py``.
 """
 
 from __future__ import annotations
@@ -22,7 +21,7 @@
 
 from ...datagram import messages
 from ...observability import decisions
-from . import model, packing
+from . import holds, model, packing
 
 MAX_KNOWN_MAPS = 3
 """The map in effect and those of rounds that were given up."""
@@ -124,7 +123,11 @@
             or intent.epoch != self.report.epoch
         ):
             return
-        action = _ACTIONS.get(model.Phase(intent.phase))
+        action = (
+            RankController._release
+            if holds.is_obsolete(intent, self.report)
+            else _ACTIONS.get(model.Phase(intent.phase))
+        )
         if action is not None and await action(self, intent, self.report):
             self.gave_order = True
             self.report = await self._engine.report() or self.report
@@ -289,11 +292,8 @@
     async def _release(
         self, intent: messages.Intent, report: model.RankReport
     ) -> bool:
-        is_holder = intent.holder in (messages.UNSET, report.rank)
-        if report.held_step != intent.step or not is_holder:
-            return False
-        result = await self._engine.release(report.epoch, intent.step)
-        self._log('release', intent, result)
+        result = await self._engine.release(report.epoch, report.held_step)
+        self._log('release', intent, result, held=report.held_step)
         return True
 
     def _log(
@@ -301,6 +301,7 @@
         order: str,
         intent: messages.Intent,
         result: model.OrderResult,
+        **fields: int,
     ) -> None:
         decisions.log(
             'order',
@@ -313,6 +314,7 @@
             step=intent.step,
             at_step=self.report.step,
             result=result.value,
+            **fields,
         )
 
 
@@ -329,5 +331,4 @@
     model.Phase.HOLD: RankController._hold,
     model.Phase.ARM: RankController._arm,
     model.Phase.ABORT: RankController._abort,
-    model.Phase.RELEASE: RankController._release,
 }
--- a/src/wagtailhollow/internal/experts/live/statuses.py
+++ b/src/wagtailhollow/internal/experts/live/statuses.py
@@ -29,3 +29,8 @@
         status.held_step != messages.UNSET
         or status.armed_version != messages.UNSET
     )
+
+
+def may_be_armed(status: messages.RankStatus) -> bool:
+    """Return whether an order to arm a later version would be accepted."""
+    return max(status.prepared, status.ordered_version) > status.map_version
--- a/standins/live_group.py
+++ b/standins/live_group.py
@@ -111,7 +111,10 @@
 
 
 class SimulatedEngine:
-    """Engine of one rank; a :class:`model.RankEngine`."""
+    """Engine of one rank; a :class:`model.RankEngine`.
+
+    :ivar is_silent: whether requests for its report get no answer.
+    """
 
     def __init__(self, group: Group, number: int) -> None:
         self._group = group
@@ -124,6 +127,7 @@
         self.highest_version = 0
         self.armed: model.ArmedMap | None = None
         self.held_step: int | None = None
+        self.is_silent = False
         self._is_unresponsive = False
         self._pending_orders: list[Callable[[], bool]] = []
 
@@ -147,7 +151,10 @@
     async def report(self) -> model.RankReport:
         """See :class:`model.RankEngine`."""
         await self._answer()
-        if self._group.rng.random() < self._group.faults.silent:
+        if (
+            self.is_silent
+            or self._group.rng.random() < self._group.faults.silent
+        ):
             await asyncio.sleep(ENGINE_TIMEOUT_S)
             raise model.EngineUnavailable('no answer')
         return model.RankReport(
@@ -185,35 +192,38 @@
     ) -> model.OrderResult:
         """See :class:`model.RankEngine`."""
         own_experts = [list(row) for row in experts[self.number]]
-        return await self._order(lambda: self._prepare(version, own_experts))
+        return await self._order(
+            'prepare', lambda: self._prepare(version, own_experts)
+        )
 
     async def arm(
         self, epoch: int, version: int, step: int
     ) -> model.OrderResult:
         """See :class:`model.RankEngine`."""
-        return await self._order(lambda: self._arm(version, step))
+        return await self._order('arm', lambda: self._arm(version, step))
 
     async def disarm(self, epoch: int, version: int) -> model.OrderResult:
         """See :class:`model.RankEngine`."""
-        return await self._order(lambda: self._disarm(version))
+        return await self._order('disarm', lambda: self._disarm(version))
 
     async def hold(self, epoch: int, step: int) -> model.OrderResult:
         """See :class:`model.RankEngine`."""
-        return await self._order(lambda: self._hold(step))
+        return await self._order('hold', lambda: self._hold(step))
 
     async def release(self, epoch: int, step: int) -> model.OrderResult:
         """See :class:`model.RankEngine`."""
-        return await self._order(lambda: self._release(step))
+        return await self._order('release', lambda: self._release(step))
 
-    async def _order(self, execute: Callable[[], bool]) -> model.OrderResult:
-        rng, faults = self._group.rng, self._group.faults
+    async def _order(
+        self, name: str, execute: Callable[[], bool]
+    ) -> model.OrderResult:
         await asyncio.sleep(0.002)
         if self._is_unresponsive:
             self._pending_orders.append(execute)
             await asyncio.sleep(ENGINE_TIMEOUT_S)
             return model.OrderResult.UNKNOWN
-        if rng.random() < faults.unanswered:
-            delay_s = rng.uniform(*LATE_ORDER_DELAY_S)
+        delay_s = self._group.order_delay_s(self.number, name)
+        if delay_s is not None:
             asyncio.get_running_loop().call_later(delay_s, execute)
             await asyncio.sleep(ENGINE_TIMEOUT_S)
             return model.OrderResult.UNKNOWN
@@ -426,6 +436,11 @@
     :ivar terms: terms of coordinators, in order.
     :ivar plan_s: time that planning takes in another thread; with 0 it is
         done on the event loop.
+    :ivar pass_s: duration of a pass.
+    :ivar is_idle: whether there are no requests, so that no pass begins.
+    :ivar order_delay_s: called with a rank and the name of an order; returns
+        the time after which the order is executed without an answer, None for
+        an order that is answered. By default :attr:`faults` decide.
     """
 
     def __init__(
@@ -451,6 +466,17 @@
         self.dropped = collections.Counter()
         self.terms: list[int] = []
         self.plan_s = 0.0
+        self.pass_s = PASS_S
+        self.is_idle = False
+        self.order_delay_s: Callable[[int, str], float | None] = (
+            self.random_order_delay_s
+        )
+
+    def random_order_delay_s(self, number: int, name: str) -> float | None:
+        """Return the delay of an order that gets no answer, else None."""
+        if self.rng.random() < self.faults.unanswered:
+            return self.rng.uniform(*LATE_ORDER_DELAY_S)
+        return None
 
     async def run_in_thread(
         self, function: Callable[..., Any], *args: Any
@@ -506,7 +532,10 @@
         loop = asyncio.get_running_loop()
         last_s = loop.time()
         while True:
-            await asyncio.sleep(PASS_S)
+            await asyncio.sleep(self.pass_s)
+            if self.is_idle:
+                last_s = loop.time()
+                continue
             next_step = self.step + 1
             if any(item.held_step == next_step for item in self.engines):
                 pause_s = loop.time() - last_s
--- a/tests/cover/test_live_switch.py
+++ b/tests/cover/test_live_switch.py
@@ -12,6 +12,7 @@
 from wagtailhollow.internal.experts.live import (
     coordinator,
     group_view,
+    lookahead,
     model,
     packing,
     rank,
@@ -243,11 +244,11 @@
 
     Passes take 0.05 s; one step is added for the pass that is under way.
     """
-    coord = new_coordinator()
-    coord._arming_s = arming_s
-    assert coord._lookahead_steps(0.0) == steps
-    coord._arming_s = 9.0
-    assert coord._lookahead_steps(0.0) == coordinator.MAX_LOOKAHEAD_STEPS
+    times = lookahead.ArmingTimes()
+    times.add(arming_s)
+    assert times.lookahead_steps(0.0) == steps
+    times.add(9.0)
+    assert times.lookahead_steps(0.0) == lookahead.MAX_LOOKAHEAD_STEPS
 
 
 def new_coordinator(map_planner=None, limits=None, counts=None):
--- a/tests/nocover/test_live_switch_proof.py
+++ b/tests/nocover/test_live_switch_proof.py
@@ -24,3 +24,15 @@
     Each variant lacks one safeguard of the protocol.
     """
     assert_refuted(live_switch.check(variant))
+
+
+@pytest.mark.parametrize('variant', live_switch.CHECKED, ids=str)
+def test_passes_begin_once_orders_are_answered(variant):
+    """Guards against a hold that is executed late and never released."""
+    assert_holds(live_switch.check_progress(variant))
+
+
+@pytest.mark.parametrize('variant', live_switch.STUCK, ids=str)
+def test_the_stuck_variant_is_refuted(variant):
+    """Guards against a specification that cannot show a stuck group."""
+    assert_refuted(live_switch.check_progress(variant))
