Forget prepared versions when a group is formed again

Cause: a new coordinator invalidates versions that may still be armed. An agent reported the version that it had ordered in an earlier epoch, which cannot be armed any more, so that the whole map would have been sent to all ranks after each forming of the group.

Change: a version of an earlier epoch counts as refused, so that later ones are still above it. The test fails without that. The decision whether passes are fast enough moves to pass_time.py, without a change.

--- a/src/wagtailhollow/internal/experts/live/coordinator.py
+++ b/src/wagtailhollow/internal/experts/live/coordinator.py
@@ -62,20 +62,11 @@
 that the work does not grow with the square of the group when all ranks answer
 at once."""
 
-REBALANCE_PASS_SHARE = 0.46
-"""Mean pass time from which rebalancing is considered whatever the skew, as a
-share of the pause that callers allow between two events of a stream. A shift
-in demand doubles the pass time, which still fits below this share."""
-
 VERSION_STRIDE = 1 << 20
 """A version is a multiple of this, at least by the term, plus a random number.
 The random part keeps two maps from getting the same version after all agents
 have forgotten the terms."""
 
-REBALANCE_SKEW = 2.0
-"""Skew from which rebalancing is considered even if passes are short. The skew
-is 2.5 to 3 right after a shift in demand, and load can rise at any time."""
-
 MAX_STRAGGLER_SHARE = 0.5
 """While more of the ranks than this still copy weights, they are not asked for
 their statuses; they report by themselves. Their reports may be lost."""
@@ -747,19 +738,6 @@
                 return
         self._steps.settle()
 
-    def _is_fast_enough(self, now_s: float, limits: Limits) -> bool:
-        """Return whether callers would not notice a better map.
-
-        Rebalancing is not free: copying experts costs the operator and slows
-        the passes down while it lasts.
-        """
-        return (
-            0
-            < self._pass_times.pass_s(now_s)
-            < REBALANCE_PASS_SHARE * limits.gap_s
-            and self.skew < REBALANCE_SKEW
-        )
-
     def _plan(self, statuses: Mapping[int, Status]) -> planner.Plan | None:
         limits = self._limits()
         if limits is None:
@@ -789,7 +767,8 @@
             )
             / limits.layers
         )
-        if self._is_fast_enough(time.monotonic(), limits):
+        pass_s = self._pass_times.pass_s(time.monotonic())
+        if pass_time.is_fast_enough(pass_s, self.skew, limits.gap_s):
             return None
         plan = self._planner.plan(
             current,
--- a/src/wagtailhollow/internal/experts/live/pass_time.py
+++ b/src/wagtailhollow/internal/experts/live/pass_time.py
@@ -11,6 +11,29 @@
 """About ten passes at the usual pass time, so that the effect of a map switch
 shows within it."""
 
+REBALANCE_PASS_SHARE = 0.46
+"""Mean pass time from which rebalancing is considered whatever the skew, as a
+share of the pause that callers allow between two events of a stream. A shift
+in demand doubles the pass time, which still fits below this share."""
+
+REBALANCE_SKEW = 2.0
+"""Skew from which rebalancing is considered even if passes are short. The skew
+is 2.5 to 3 right after a shift in demand, and load can rise at any time."""
+
+
+def is_fast_enough(pass_s: float, skew: float, gap_s: float) -> bool:
+    """Return whether callers would not notice a better map.
+
+    Rebalancing is not free: copying experts costs the operator and slows the
+    passes down while it lasts.
+
+    :param pass_s: duration of a pass, 0 if unknown.
+    :param skew: mean skew of the layers.
+    :param gap_s: shortest pause between two events of a stream that a route
+        allows.
+    """
+    return 0 < pass_s < REBALANCE_PASS_SHARE * gap_s and skew < REBALANCE_SKEW
+
 
 class PassTimeEstimator:
     """Mean pass time over a sliding window."""
--- a/src/wagtailhollow/internal/experts/live/rank.py
+++ b/src/wagtailhollow/internal/experts/live/rank.py
@@ -71,6 +71,7 @@
         self._intent: messages.Intent | None = None
         # Version of the last prepare order that the engine accepted.
         self._ordered_version = messages.UNSET
+        self._epoch = messages.UNSET
         self._experts_key: tuple[int, int, int] | None = None
         self.refused_version = messages.UNSET
         self.report: model.RankReport | None = None
@@ -115,6 +116,7 @@
         self.report = await self._engine.report()
         if self.report is None:
             return
+        self._enter_epoch(self.report.epoch)
         await self._refresh_experts(self.report)
         intent = self._intent
         if (
@@ -167,6 +169,18 @@
             and known[report.rank] == self._experts
         )
 
+    def _enter_epoch(self, epoch: int) -> None:
+        """Forget the prepared version when the group is formed again.
+
+        It cannot be armed any more; engines refuse to prepare it again.
+        """
+        if epoch != self._epoch:
+            self.refused_version = max(
+                self.refused_version, self._ordered_version
+            )
+            self._ordered_version = messages.UNSET
+            self._epoch = epoch
+
     async def _refresh_experts(self, report: model.RankReport) -> None:
         key = _map_key(report)
         if self._experts_key == key:
--- a/tests/cover/test_late_orders.py
+++ b/tests/cover/test_late_orders.py
@@ -9,7 +9,13 @@
 
 from standins import live_group, memory_platform
 from wagtailhollow.internal.datagram import messages
-from wagtailhollow.internal.experts.live import holds, lookahead, model
+from wagtailhollow.internal.experts.live import (
+    holds,
+    lookahead,
+    model,
+    rank,
+    statuses,
+)
 
 RANKS = 4
 LATE_S = 2.0
@@ -277,8 +283,8 @@
 
     Late orders hold steps of earlier switches.
     """
-    statuses = [status(number, **fields) for number, fields in rows.items()]
-    assert holds.step_to_undo(statuses, 10) == step
+    found = [status(number, **fields) for number, fields in rows.items()]
+    assert holds.step_to_undo(found, 10) == step
 
 
 @pytest.mark.parametrize(
@@ -293,12 +299,38 @@
 )
 def test_second_hold_is_at_another_rank_that_can_hold(held, heard, expected):
     """Guards against a second hold that engines refuse or nobody confirms."""
-    statuses = {
+    found = {
         number: status(number, held_step=held.get(number, messages.UNSET))
         for number in range(RANKS)
     }
     rng = random.Random(1)
     assert {
-        holds.choose_second_holder(statuses, heard, 0, 14, rng)
-        for _ in range(50)
+        holds.choose_second_holder(found, heard, 0, 14, rng) for _ in range(50)
     } == expected
+
+
+def test_version_of_an_earlier_epoch_is_not_undone():
+    """Guards against a map sent in vain whenever the group is formed again.
+
+    The version cannot be armed any more, and it is not used again either.
+    """
+
+    class Engine:
+        epoch = 1
+
+        async def report(self):
+            return report(epoch=self.epoch)
+
+        async def maps(self):
+            preparing = 900 if self.epoch == 1 else None
+            return model.RankMaps(self.epoch, 3, [[0]], preparing)
+
+    engine = Engine()
+    controller = rank.RankController(engine)
+    asyncio.run(controller.reconcile())
+    assert statuses.may_be_armed(controller.status())
+    engine.epoch = 2
+    asyncio.run(controller.reconcile())
+    after = controller.status()
+    assert not statuses.may_be_armed(after)
+    assert after.refused_version == 900, 'a later version has to be higher'
