--- a/tests/cover/test_late_orders.py
+++ b/tests/cover/test_late_orders.py
@@ -165,6 +165,49 @@
     assert group.longest_pause_s < MAX_PAUSE_S
 
 
+async def random_trouble(group):
+    """Make orders late, engines slow, silent or idle, and agents fail."""
+    rng = group.rng
+    loop = asyncio.get_running_loop()
+    group.faults = live_group.Faults(unanswered=0.2, lost=0.02)
+    end_s = loop.time() + 30.0
+    while loop.time() < end_s:
+        await asyncio.sleep(rng.uniform(0.1, 2.0))
+        number = rng.randrange(RANKS)
+        agent, engine = group.agents[number], group.engines[number]
+        match rng.randrange(5):
+            case 0:
+                group.pass_s = live_group.PASS_S * rng.choice([1, 12, 20])
+            case 1:
+                group.is_idle = not group.is_idle
+            case 2:
+                engine.is_silent = True
+                loop.call_later(rng.uniform(0.05, 1.5), unmute, engine)
+            case 3:
+                agent.kill()
+                await asyncio.sleep(rng.uniform(0.0, 2.0))
+                agent.start()
+            case 4:
+                agent.is_frozen = True
+                await asyncio.sleep(rng.uniform(0.1, 3.0))
+                agent.is_frozen = False
+    group.faults = live_group.Faults()
+    group.is_idle = False
+    group.pass_s = live_group.PASS_S
+    # Orders are late by as much as this, and one more by an own time-out.
+    await asyncio.sleep(live_group.LATE_ORDER_DELAY_S[1] + 1.0)
+
+
+def unmute(engine):
+    engine.is_silent = False
+
+
+@pytest.mark.parametrize('seed', [0, 1, 8])
+def test_group_switches_again_after_random_trouble(seed):
+    """Guards against late orders that mix maps or stop the group for good."""
+    assert_switches_go_on(run_group(random_trouble, seed))
+
+
 def status(number, **fields):
     return messages.RankStatus(
         rank=number, group='g', size=4, is_open=True, epoch=1, **fields
