--- a/tests/cover/test_late_orders.py
+++ b/tests/cover/test_late_orders.py
@@ -8,6 +8,7 @@
 import pytest
 
 from standins import live_group, memory_platform
+from tests.live_ranks import report, status
 from wagtailhollow.internal.datagram import messages
 from wagtailhollow.internal.experts.live import (
     holds,
@@ -208,32 +209,6 @@
     assert_switches_go_on(run_group(random_trouble, seed))
 
 
-def status(number, **fields):
-    return messages.RankStatus(
-        rank=number, group='g', size=4, is_open=True, epoch=1, **fields
-    )
-
-
-def report(**fields):
-    values = {
-        'group': 'g',
-        'epoch': 1,
-        'rank': 0,
-        'size': 4,
-        'is_open': True,
-        'step': 10,
-        'map_version': 3,
-        'prepared': None,
-        'armed': None,
-        'held_step': None,
-        'running': 0,
-        'waiting': 0,
-        'memory_used': 0,
-        'start_time_ms': 5,
-    }
-    return model.RankReport(**(values | fields))
-
-
 @pytest.mark.parametrize(
     ('phase', 'step', 'holder', 'obsolete'),
     [
--- a/tests/cover/test_live_switch.py
+++ b/tests/cover/test_live_switch.py
@@ -7,6 +7,7 @@
 import pytest
 
 from standins import live_group, memory_platform
+from tests.live_ranks import report, status
 from wagtailhollow.internal.datagram import messages
 from wagtailhollow.internal.experts import planner
 from wagtailhollow.internal.experts.live import (
@@ -176,12 +177,6 @@
     return count * group_view.TERM_STRIDE + number
 
 
-def status(number, **fields):
-    return messages.RankStatus(
-        rank=number, group='g', size=4, is_open=True, epoch=1, **fields
-    )
-
-
 def test_coordinator_stays_when_a_lower_rank_returns():
     """Guards against a takeover during a switch, which prolongs the hold."""
     now = [0.0]
@@ -325,26 +320,6 @@
         return await self._order('arm', version, step)
 
 
-def report(**fields):
-    values = {
-        'group': 'g',
-        'epoch': 1,
-        'rank': 0,
-        'size': 2,
-        'is_open': True,
-        'step': 10,
-        'map_version': 3,
-        'prepared': None,
-        'armed': None,
-        'held_step': None,
-        'running': 0,
-        'waiting': 0,
-        'memory_used': 0,
-        'start_time_ms': 5,
-    }
-    return model.RankReport(**(values | fields))
-
-
 def intent(**fields):
     return messages.Intent(group='g', epoch=1, **fields)
 
