Let the first switch of a newly formed group use a near step

Cause: a new coordinator kept clear of the 16 steps that orders of an earlier one may name, also right after the group was formed, when there has been none.

A rank that has prepared none in this epoch shows that no step was held, and the first switch uses the usual distance.

A coordinator that takes over within an epoch still keeps clear of 16 steps.

Test: test_first_switch_of_an_epoch_uses_a_near_step fails before (597 and no free step).

--- a/src/wagtailhollow/internal/experts/live/holds.py
+++ b/src/wagtailhollow/internal/experts/live/holds.py
@@ -109,8 +109,11 @@
             earlier coordinator names a step further ahead than
             :data:`lookahead.MAX_LOOKAHEAD_STEPS`, and none is remembered.
         """
-        begun = max((status.step for status in statuses), default=0)
-        self._last_used = begun + lookahead.MAX_LOOKAHEAD_STEPS
+        rows = list(statuses)
+        self._last_used = max((status.step for status in rows), default=0)
+        # Steps are held only after all ranks have prepared a map.
+        if all(map(rank_statuses.has_had_map, rows)):
+            self._last_used += lookahead.MAX_LOOKAHEAD_STEPS
         self.obsolete_step = messages.UNSET
 
     def has_free_step(self, begun: int) -> bool:
--- a/src/wagtailhollow/internal/experts/live/statuses.py
+++ b/src/wagtailhollow/internal/experts/live/statuses.py
@@ -4,6 +4,9 @@
 
 from ...datagram import messages
 
+INITIAL_VERSION = 0
+"""Version of the map with which a group is formed."""
+
 
 def obeys_term(status: messages.RankStatus) -> bool:
     """Return True: the statuses are only those of ranks that obey the term.
@@ -31,6 +34,14 @@
     )
 
 
+def has_had_map(status: messages.RankStatus) -> bool:
+    """Return whether the rank has prepared a map in this epoch."""
+    return (
+        max(status.map_version, status.prepared, status.ordered_version)
+        > INITIAL_VERSION
+    )
+
+
 def may_be_armed(status: messages.RankStatus) -> bool:
     """Return whether an order to arm a later version would be accepted."""
     return max(status.prepared, status.ordered_version) > status.map_version
--- a/tests/cover/test_late_orders.py
+++ b/tests/cover/test_late_orders.py
@@ -243,7 +243,12 @@
 
 def test_steps_are_used_once():
     """Guards against a hold that a late release of the same step ends."""
-    steps = holds.HeldSteps([status(0, step=100), status(1, step=98)])
+    steps = holds.HeldSteps(
+        [
+            status(0, step=100, map_version=3),
+            status(1, step=98, prepared=4),
+        ]
+    )
     last_of_others = 100 + lookahead.MAX_LOOKAHEAD_STEPS
     assert not steps.has_free_step(100), 'a late order may name any step'
     assert steps.has_free_step(101)
@@ -253,12 +258,27 @@
     assert steps.use_step(first - 1, 3) == first + 3
 
 
+def test_first_switch_of_an_epoch_uses_a_near_step():
+    """Guards against a first map 1.1 s later whenever a group is formed.
+
+    A rank that has prepared no map shows that no step was held before.
+    """
+    steps = holds.HeldSteps(
+        [
+            status(0, step=581, map_version=0, prepared=7),
+            status(1, step=581, map_version=0),
+        ]
+    )
+    assert steps.has_free_step(581)
+    assert steps.use_step(581, 3) == 584
+
+
 def test_group_that_stays_idle_is_not_switched_for_ever():
     """Guards against orders that name steps far ahead.
 
     Another coordinator cannot know them and would use them again.
     """
-    steps = holds.HeldSteps([status(0, step=0)])
+    steps = holds.HeldSteps([status(0, step=0, map_version=3)])
     used = []
     while steps.has_free_step(40):
         used.append(steps.use_step(40, 3))
